workspace: add packages, message and record codecs, core interfaces, checks

Cause: there was no code. The messages, stored records and core interfaces come first, so that the parts can be built side by side against them. Excluded: cereal's portable binary archive. It resizes strings and vectors to any length it reads before it notices that the input is too short; bounded_archive checks the length first. Conclusion: the codecs are in place; the daemons and the core decisions are not.

--- /dev/null
+++ b/packages/cli/source/main.cpp
@@ -0,0 +1,5 @@
+#include <cstdlib>
+
+int main() {
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/packages/core/include/egretstile/core/admission/admission_controller.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <egretstile/core/admission/refusal.hpp>
+#include <egretstile/core/admission/worker_types.hpp>
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/core/base/resources.hpp>
+#include <egretstile/core/base/terms.hpp>
+#include <egretstile/core/plan/plan_view.hpp>
+#include <egretstile/core/task/task.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace egretstile {
+
+/// A start as it arrived from an entry.
+struct start_request {
+    entry_id entry;
+    shard_number shard{0};
+    epoch_number epoch{0};
+    task_spec spec;
+    attempt_number attempt{0};
+    incarnation_number incarnation{0};
+    /// Last heartbeat that the entry answered; the start is valid until that heartbeat was sent
+    /// plus the grant term.
+    std::uint64_t heartbeat_sequence{0};
+    std::string checkpoint;
+};
+
+/// The agent refuses the start and will refuse every duplicate of it.
+struct start_refused {
+    refusal reason{refusal::none};
+};
+
+/// The run is known already; the answer is its report.
+struct start_known {
+    run_report report;
+};
+
+/// Capacity is reserved; the caller must call the worker and then `start_finished`.
+struct start_admitted {
+    worker_start call;
+};
+
+using start_decision = std::variant<start_refused, start_known, start_admitted>;
+
+/// Fate of a worker call.
+enum class call_result : std::uint8_t {
+    done,
+    refused, ///< The worker did not do it and will not.
+    unknown  ///< No answer: it may have taken effect.
+};
+
+/// What an owner says about one of its shards in a heartbeat reply.
+struct grant {
+    shard_number shard{0};
+    epoch_number epoch{0};
+};
+
+/// The parts of a heartbeat reply that admission needs.
+struct owner_reply {
+    entry_id entry;
+    std::uint64_t sequence{0};
+    bool plan_known{false};
+    revision_number plan_revision{0};
+    milliseconds plan_age{0};
+    bool domain_in_service{false};
+    bool vm_drained{false};
+    std::vector<grant> grants;
+    std::vector<task_run> stop;
+    std::vector<task_run> acknowledged;
+};
+
+enum class worker_action_kind : std::uint8_t {
+    renew,
+    suspend,
+    resume,
+    stop,            ///< Stop without a checkpoint.
+    checkpoint_stop, ///< Checkpoint, then stop.
+    forget
+};
+
+/// A worker call that the agent must make now; its result goes to `action_finished`.
+struct worker_action {
+    worker_action_kind kind{worker_action_kind::renew};
+    task_run run;
+    /// New end of the lease of renew and resume.
+    boot_time lease_until;
+};
+
+/// Decides for one VM what may start and what may go on. The only place where capacity of the VM
+/// is reserved. Makes no calls; the agent makes them and gives back the results.
+///
+/// Rules:
+/// - Nothing is admitted before `worker_observed` and a confirmed, fresh plan.
+/// - Reserved capacity, suspended and unconfirmed runs included, never exceeds the VM's capacity;
+///   capacity is released only when the worker has confirmed the end.
+/// - A run has a grant that ends `grant_term` after the agent sent a heartbeat that listed the run
+///   and whose reply granted its shard; a lease given to the worker never ends later.
+/// - Before a grant ends, by `suspend_margin`, the run is suspended; it is resumed when granted.
+/// - For each shard the highest epoch seen counts; lower ones are refused and their grants ignored.
+///
+/// Not thread-safe. `now` must not go back between calls.
+class admission_controller {
+public:
+    admission_controller(incarnation_number incarnation, const lease_terms& terms);
+
+    /// Takes the worker's whole list. Also run phases, checkpoints and ends come from here. A run
+    /// that is listed but not known (after a restart of the agent) is taken over with the lease it
+    /// has as its grant. A new boot id drops all runs of the earlier boot.
+    void worker_observed(const worker_status& status, boot_time now);
+
+    bool worker_known() const { return worker_known_; }
+
+    start_decision request_start(const start_request& request, boot_time now);
+
+    /// Result of the call of `start_admitted`. After `unknown` the run stays reserved and reported
+    /// as starting until a later `worker_observed`, made of a call sent after this one, decides.
+    void start_finished(const task_run& run, call_result result, boot_time now);
+
+    /// The owner asks for the end of the run; a lower epoch or an unknown run is ignored.
+    void request_stop(shard_number shard, epoch_number epoch, const task_run& run,
+                      bool take_checkpoint);
+
+    /// Number for the next heartbeat to `entry`, sent at `now`; its runs are `reports()`.
+    std::uint64_t heartbeat_sent(const entry_id& entry, boot_time now);
+
+    /// Reports of all runs: unfinished, ended and not acknowledged, and refused.
+    std::vector<run_report> reports() const;
+
+    void reply_received(const owner_reply& reply, boot_time now);
+
+    /// Calls that are due. An action stays due, and is not given again, until `action_finished`.
+    std::vector<worker_action> due_actions(boot_time now);
+
+    /// `checkpoint` is the answer of suspend and checkpoint_stop.
+    void action_finished(const worker_action& action, call_result result,
+                         const std::string& checkpoint, boot_time now);
+
+    /// The agent or its upstream is stopping: nothing more is admitted.
+    void set_draining(bool draining) { draining_ = draining; }
+
+    bool draining() const { return draining_ || vm_drained_; }
+
+    resources capacity() const { return capacity_; }
+
+    resources reserved() const;
+
+    const plan_view& plan() const { return plan_; }
+};
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/include/egretstile/core/plan/plan.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/core/base/name_table.hpp>
+#include <egretstile/core/base/resources.hpp>
+#include <egretstile/core/task/task.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretstile {
+
+/// Whether tasks may start in a failure domain.
+enum class domain_state : std::uint8_t { in_service, out_of_service };
+
+inline constexpr std::array<enum_name<domain_state>, 2> domain_state_names{
+    {{domain_state::in_service, "in"}, {domain_state::out_of_service, "out"}}};
+
+struct domain_plan {
+    failure_domain_name name;
+    domain_state state{domain_state::in_service};
+    /// Plan revision number of the last change of this row; see `plan::version`.
+    std::uint64_t changed_in{0};
+
+    friend bool operator==(const domain_plan&, const domain_plan&) = default;
+};
+
+/// How often a row's work runs.
+enum class recurrence : std::uint8_t { once, daily, monthly, standing };
+
+inline constexpr std::array<enum_name<recurrence>, 4> recurrence_names{
+    {{recurrence::once, "once"},
+     {recurrence::daily, "daily"},
+     {recurrence::monthly, "monthly"},
+     {recurrence::standing, "standing"}}};
+
+/// What a row of the sheet creates.
+enum class row_type : std::uint8_t { service, batch, watch };
+
+inline constexpr std::array<enum_name<row_type>, 3> row_type_names{
+    {{row_type::service, "service"}, {row_type::batch, "batch"}, {row_type::watch, "watch"}}};
+
+/// One row of the sheet: a service, a batch job or a standing watch task.
+struct plan_row {
+    std::string name;
+    row_type type{row_type::service};
+    std::string team;
+    resources need;
+    task_kind kind{task_kind::reconciliation};
+    task_priority priority{task_priority::normal};
+    bool idempotent{false};
+    recurrence repeats{recurrence::once};
+    /// Day of the month, 1 to 31, of a monthly row; a shorter month uses its last day.
+    std::uint32_t day_of_month{0};
+    /// Minutes after local midnight of a daily or monthly row.
+    std::uint32_t minute_of_day{0};
+    /// IANA name, for example Asia/Ulaanbaatar.
+    std::string time_zone;
+    milliseconds run_time{0};
+    std::string payload;
+    /// Plan version of the last change of this row; see `plan::version`.
+    std::uint64_t changed_in{0};
+
+    friend bool operator==(const plan_row&, const plan_row&) = default;
+};
+
+/// Share of the fleet that a team may hold with started tasks.
+struct team_plan {
+    std::string name;
+    resources quota;
+    std::uint64_t changed_in{0};
+
+    friend bool operator==(const team_plan&, const team_plan&) = default;
+};
+
+/// VM that operators drain: its agent admits no new work.
+struct drained_vm {
+    vm_name name;
+    std::uint64_t changed_in{0};
+
+    friend bool operator==(const drained_vm&, const drained_vm&) = default;
+};
+
+/// The operators' whole configuration, stored as one value.
+struct plan {
+    /// Counts the accepted changes; each accepted change raises it by one.
+    std::uint64_t version{0};
+    /// Identifies the last change, to recognise one whose answer was lost.
+    std::string change_id;
+    std::string changed_by;
+    std::vector<domain_plan> domains;
+    std::vector<plan_row> rows;
+    std::vector<team_plan> teams;
+    std::vector<drained_vm> drained;
+
+    friend bool operator==(const plan&, const plan&) = default;
+};
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/daemon/source/telemetry/log.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <egretstile/core/base/name_table.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace egretstile::daemon {
+
+/// Part of the program that a log line comes from; its name is the line's prefix.
+enum class log_part : std::uint8_t {
+    process,
+    settings,
+    net,
+    membership,
+    plan,
+    shard,
+    task,
+    routing,
+    admission,
+    upstream,
+    worker
+};
+
+inline constexpr std::array<enum_name<log_part>, 11> log_part_names{
+    {{log_part::process, "process"},
+     {log_part::settings, "settings"},
+     {log_part::net, "net"},
+     {log_part::membership, "membership"},
+     {log_part::plan, "plan"},
+     {log_part::shard, "shard"},
+     {log_part::task, "task"},
+     {log_part::routing, "routing"},
+     {log_part::admission, "admission"},
+     {log_part::upstream, "upstream"},
+     {log_part::worker, "worker"}}};
+
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+inline constexpr std::array<enum_name<log_level>, 4> log_level_names{
+    {{log_level::debug, "debug"},
+     {log_level::info, "info"},
+     {log_level::warning, "warning"},
+     {log_level::error, "error"}}};
+
+/// Lines below `level` are dropped from now on. Precondition: called before other threads log.
+void start_logging(log_level level);
+
+/// Writes one line to standard error: time, level, prefix, sentence. `fields` is empty or
+/// `name=value` pairs separated by blanks. Thread-safe.
+void write_log(log_part part, log_level level, const std::string& sentence,
+               const std::string& fields = "");
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/platform/include/egretstile/platform/key_value/key_value_store.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/core/base/name_table.hpp>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace egretstile::platform {
+
+/// Why a call to the key-value service has no result.
+enum class store_error : std::uint8_t {
+    unavailable,  ///< Nothing was sent, or the service refused the call: it had no effect.
+    rate_limited, ///< Refused because of the call rate: it had no effect.
+    no_answer,    ///< Sent without an answer: a write may have taken effect.
+    not_found,    ///< The lease does not exist (any more).
+    conflict,     ///< The revision of the key is not the expected one.
+    rejected      ///< The service does not take the call, for example a value above 1 MB.
+};
+
+inline constexpr std::array<enum_name<store_error>, 6> store_error_names{
+    {{store_error::unavailable, "unavailable"},
+     {store_error::rate_limited, "rate_limited"},
+     {store_error::no_answer, "no_answer"},
+     {store_error::not_found, "not_found"},
+     {store_error::conflict, "conflict"},
+     {store_error::rejected, "rejected"}}};
+
+/// A key's value; revision zero and an empty value: the key is absent.
+struct stored_value {
+    revision_number revision{0};
+    std::string value;
+};
+
+using lease_id = std::string;
+
+template <typename Result>
+using store_result = std::variant<Result, store_error>;
+
+/// The platform's key-value service. Implementations are thread-safe. Calls block until the answer
+/// or the implementation's timeout.
+class key_value_store {
+public:
+    key_value_store() = default;
+    key_value_store(const key_value_store&) = delete;
+    key_value_store& operator=(const key_value_store&) = delete;
+    key_value_store(key_value_store&&) = delete;
+    key_value_store& operator=(key_value_store&&) = delete;
+    virtual ~key_value_store() = default;
+
+    /// Current value of `key`.
+    virtual store_result<stored_value> get(const std::string& key) = 0;
+
+    /// Waits until the revision of `key` differs from `after` or `wait` has passed; gives the
+    /// current value in both cases.
+    virtual store_result<stored_value> watch(const std::string& key, revision_number after,
+                                             milliseconds wait) = 0;
+
+    /// Writes `value` when the key's revision is `expected` (zero: absent); gives the new revision.
+    /// With `lease` the key is deleted when that lease ends.
+    virtual store_result<revision_number>
+    compare_and_swap(const std::string& key, revision_number expected, const std::string& value,
+                     const std::optional<lease_id>& lease) = 0;
+
+    /// Deletes the key when its revision is `expected`.
+    virtual store_result<std::monostate> remove(const std::string& key,
+                                                revision_number expected) = 0;
+
+    virtual store_result<lease_id> grant_lease(milliseconds time_to_live) = 0;
+
+    /// `store_error::not_found` means that the lease has ended for good.
+    virtual store_result<std::monostate> renew_lease(const lease_id& lease) = 0;
+
+    virtual store_result<std::monostate> revoke_lease(const lease_id& lease) = 0;
+};
+
+} // namespace egretstile::platform
--- /dev/null
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <egretstile/core/plan/plan.hpp>
+#include <egretstile/core/shard/member_list.hpp>
+#include <egretstile/core/shard/shard_record.hpp>
+#include <egretstile/wire/message/messages.hpp>
+
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/common.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+/// Field lists for cereal. The order of fields is the format; a change raises `frame_version`, and
+/// `record_version` for the types that are stored.
+namespace egretstile {
+
+template <typename Archive>
+void serialize(Archive& archive, resources& value) {
+    archive(value.cpu_millicores, value.memory_mb, value.accelerators);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_run& value) {
+    archive(value.key, value.attempt);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_spec& value) {
+    archive(value.key, value.kind, value.priority, value.team, value.need, value.idempotent,
+            value.declared_run_time, value.payload);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_record& value) {
+    archive(value.spec, value.state, value.attempt, value.vm, value.incarnation, value.worker_boot,
+            value.checkpoint, value.failures, value.evictions, value.outcome, value.accepted_at_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, run_report& value) {
+    archive(value.run, value.shard, value.phase, value.checkpoint, value.detail);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, shard_record& value) {
+    archive(value.shard, value.epoch, value.owner, value.tasks);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, member& value) {
+    archive(value.id, value.host, value.port);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, member_list& value) {
+    archive(value.members);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, domain_plan& value) {
+    archive(value.name, value.state, value.changed_in);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, plan_row& value) {
+    archive(value.name, value.type, value.team, value.need, value.kind, value.priority,
+            value.idempotent, value.repeats, value.day_of_month, value.minute_of_day,
+            value.time_zone, value.run_time, value.payload, value.changed_in);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, team_plan& value) {
+    archive(value.name, value.quota, value.changed_in);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, drained_vm& value) {
+    archive(value.name, value.changed_in);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, plan& value) {
+    archive(value.version, value.change_id, value.changed_by, value.domains, value.rows,
+            value.teams, value.drained);
+}
+
+} // namespace egretstile
+
+namespace egretstile::wire {
+
+template <typename Archive>
+void serialize(Archive& archive, hello& value) {
+    archive(value.role, value.name, value.incarnation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, upstream_report& value) {
+    archive(value.service, value.state, value.slots, value.slots_in_use, value.connections,
+            value.latency_us);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, run_usage& value) {
+    archive(value.run, value.team, value.kind, value.need, value.used);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, heartbeat& value) {
+    archive(value.sequence, value.vm, value.incarnation, value.failure_domain, value.rack,
+            value.worker_known, value.worker_boot, value.capacity, value.reserved,
+            value.plan_revision, value.draining, value.upstream, value.runs, value.usage);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, shard_grant& value) {
+    archive(value.shard, value.epoch);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, entry_address& value) {
+    archive(value.id, value.host, value.port);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, heartbeat_reply& value) {
+    archive(value.sequence, value.entry, value.plan_revision, value.plan_age_ms, value.plan_known,
+            value.domain_in_service, value.vm_drained, value.grants, value.stop, value.acknowledged,
+            value.entries);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, start_task& value) {
+    archive(value.shard, value.epoch, value.spec, value.attempt, value.incarnation,
+            value.heartbeat_sequence, value.checkpoint, value.traceparent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, start_reply& value) {
+    archive(value.report, value.reason);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, evict_task& value) {
+    archive(value.shard, value.epoch, value.run, value.take_checkpoint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, throttle_task& value) {
+    archive(value.shard, value.epoch, value.run, value.cpu_percent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, serve_request& value) {
+    archive(value.request_id, value.service, value.deadline_ms, value.idempotent, value.body,
+            value.traceparent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, serve_reply& value) {
+    archive(value.request_id, value.outcome, value.reason, value.http_status, value.body);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, cancel_request& value) {
+    archive(value.request_id);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, forward_submit& value) {
+    archive(value.call_id, value.spec, value.traceparent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, forward_query& value) {
+    archive(value.call_id, value.key);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, forward_cancel& value) {
+    archive(value.call_id, value.key);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, forward_reply& value) {
+    archive(value.call_id, value.outcome, value.reason, value.record);
+}
+
+} // namespace egretstile::wire
--- /dev/null
+++ b/packages/wire/include/egretstile/wire/record/record_codec.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <egretstile/core/plan/plan.hpp>
+#include <egretstile/core/shard/member_list.hpp>
+#include <egretstile/core/shard/shard_record.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Values as stored in the key-value service: one version byte, then the fields. The decoders take
+/// any bytes and give nothing for those that are not a record of this version. Thread-safe.
+namespace egretstile::wire {
+
+constexpr std::uint8_t record_version = 1;
+
+std::string encode_record(const shard_record& record);
+std::optional<shard_record> decode_shard_record(std::string_view bytes);
+
+std::string encode_record(const plan& value);
+std::optional<plan> decode_plan(std::string_view bytes);
+
+std::string encode_record(const member_list& value);
+std::optional<member_list> decode_member_list(std::string_view bytes);
+
+} // namespace egretstile::wire
--- /dev/null
+++ b/packages/wire/source/record/record_codec.cpp
@@ -0,0 +1,66 @@
+#include "message/bounded_archive.hpp"
+
+#include <egretstile/wire/message/serialize.hpp>
+#include <egretstile/wire/record/record_codec.hpp>
+
+#include <exception>
+
+namespace egretstile::wire {
+
+namespace {
+
+template <typename Record>
+std::string encode(const Record& record) {
+    std::string bytes;
+    output_archive archive(bytes);
+    archive(record_version, record);
+    return bytes;
+}
+
+template <typename Record>
+std::optional<Record> decode(std::string_view bytes) {
+    try {
+        input_archive archive(bytes);
+        std::uint8_t version{0};
+        archive(version);
+        if (version != record_version) {
+            return std::nullopt;
+        }
+        Record record;
+        archive(record);
+        if (archive.remaining() != 0) {
+            return std::nullopt;
+        }
+        return record;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode_record(const shard_record& record) {
+    return encode(record);
+}
+
+std::optional<shard_record> decode_shard_record(std::string_view bytes) {
+    return decode<shard_record>(bytes);
+}
+
+std::string encode_record(const plan& value) {
+    return encode(value);
+}
+
+std::optional<plan> decode_plan(std::string_view bytes) {
+    return decode<plan>(bytes);
+}
+
+std::string encode_record(const member_list& value) {
+    return encode(value);
+}
+
+std::optional<member_list> decode_member_list(std::string_view bytes) {
+    return decode<member_list>(bytes);
+}
+
+} // namespace egretstile::wire
--- /dev/null
+++ b/testing/support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
