--- /dev/null
+++ b/packages/core/tests/routing/upstream_health_test.cpp
@@ -0,0 +1,100 @@
+#include <egretstile/core/routing/upstream_health.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace egretstile {
+namespace {
+
+constexpr boot_time start{std::chrono::seconds(100)};
+
+void fail(upstream_health& health, int times) {
+    for (int i = 0; i < times; ++i) {
+        health.add_failure();
+    }
+}
+
+// Guards against the ejection of an upstream for a single lost connection.
+TEST_CASE("one failure among answers does not call for an ejection") {
+    upstream_health health;
+    for (int i = 0; i < 50; ++i) {
+        health.add_success(1000, start);
+        health.add_success(1000, start);
+        health.add_failure();
+        CHECK_FALSE(health.is_failing());
+    }
+}
+
+// Guards against an upstream that fails half of its requests and never five in a row.
+TEST_CASE("a high share of failures calls for an ejection") {
+    upstream_health health;
+    bool failing = false;
+    for (int i = 0; i < 50 && !failing; ++i) {
+        health.add_success(1000, start);
+        fail(health, 3);
+        failing = health.is_failing();
+    }
+    CHECK(failing);
+}
+
+// Guards against an upstream that stays down but gets traffic every second, and against one that
+// is set aside for ever.
+TEST_CASE("ejections grow up to a bound and shrink after reliable answers") {
+    upstream_health health;
+    boot_time now = start;
+    milliseconds last{0};
+    for (int i = 0; i < 12; ++i) {
+        fail(health, 5);
+        REQUIRE(health.is_failing());
+        health.eject(now);
+        const auto length = std::chrono::duration_cast<milliseconds>(health.ejected_until() - now);
+        CHECK(length >= last);
+        CHECK(length <= upstream_health::longest_ejection);
+        last = length;
+        now = health.ejected_until();
+        CHECK_FALSE(health.is_ejected(now));
+        CHECK(health.is_on_probation());
+    }
+    CHECK(last == upstream_health::longest_ejection);
+    for (int i = 0; i < 60; ++i) {
+        health.add_success(1000, now);
+    }
+    CHECK_FALSE(health.is_on_probation());
+    fail(health, 5);
+    health.eject(now);
+    CHECK(health.ejected_until() - now == upstream_health::first_ejection);
+}
+
+// Guards against traffic to an upstream that comes back from an ejection and fails again.
+TEST_CASE("on probation one failure is enough") {
+    upstream_health health;
+    fail(health, 5);
+    health.eject(start);
+    CHECK_FALSE(health.is_failing());
+    health.add_failure();
+    CHECK(health.is_failing());
+}
+
+// Guards against ejections by scheduling jitter of services that answer within microseconds.
+TEST_CASE("only several times the typical answer time counts as slow") {
+    upstream_health slow;
+    upstream_health fast;
+    for (int i = 0; i < 20; ++i) {
+        slow.add_success(50000, start);
+        fast.add_success(100, start);
+    }
+    CHECK(slow.is_slow(10000));
+    CHECK_FALSE(slow.is_slow(20000));
+    CHECK_FALSE(fast.is_slow(10));
+}
+
+// Guards against an upstream that was slow once and is never tried again.
+TEST_CASE("an old measurement yields to the report") {
+    upstream_health health;
+    health.add_success(50000, start);
+    CHECK(health.expected_us(1000, start) == Approx(50000));
+    CHECK(health.expected_us(1000, start + std::chrono::seconds(60)) < 2000);
+    CHECK(health.expected_us(0, start + std::chrono::seconds(60)) == Approx(50000));
+}
+
+} // namespace
+} // namespace egretstile
