routing: test the upstream pool

Cause: ejection, domains out of service and the spread of load were tested only through the router. Conclusion: each rule of the pool has a test that names the failure it guards against.

--- /dev/null
+++ b/packages/core/tests/routing/upstream_pool_test.cpp
@@ -0,0 +1,215 @@
+#include "router_fixture.hpp"
+
+#include <egretstile/core/routing/upstream_pool.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace egretstile {
+namespace {
+
+using namespace testing;
+
+upstream_pool pool_with(int upstreams, routing_settings settings = {}) {
+    upstream_pool pool(settings);
+    for (int i = 0; i < upstreams; ++i) {
+        pool.observe(ready_upstream("vm-" + std::to_string(i)), router_start);
+    }
+    return pool;
+}
+
+void answer(upstream_pool& pool, const vm_name& vm, attempt_result result, double latency_us,
+            boot_time now) {
+    pool.attempt_sent(vm);
+    pool.attempt_ended(vm, result, refusal::none, latency_us, now);
+}
+
+std::set<vm_name> chosen_vms(upstream_pool& pool, boot_time now) {
+    std::set<vm_name> chosen;
+    for (int i = 0; i < 300; ++i) {
+        if (const std::optional<vm_name> vm = pool.choose({}, now)) {
+            chosen.insert(*vm);
+        }
+    }
+    return chosen;
+}
+
+// Guards against requests to a failure domain that operators took out of service, and against an
+// outage when it is the only one left.
+TEST_CASE("upstreams in a domain out of service are used only when no other is ready") {
+    for (const enum_name<routing_policy>& policy : routing_policy_names) {
+        routing_settings settings;
+        settings.policy = policy.value;
+        upstream_pool pool(settings);
+        upstream_view out = ready_upstream("vm-out", "south");
+        out.domain_in_service = false;
+        out.latency_us = 1;
+        pool.observe(out, router_start);
+        CHECK(pool.choose({}, router_start) == "vm-out");
+        pool.observe(ready_upstream("vm-in"), router_start);
+        CHECK(chosen_vms(pool, router_start) == std::set<vm_name>{"vm-in"});
+    }
+}
+
+// Guards against one refused attempt for each upstream of a domain that has just left.
+TEST_CASE("a refusal for the domain counts for all upstreams of the domain") {
+    upstream_pool pool(routing_settings{});
+    pool.observe(ready_upstream("vm-0", "south"), router_start);
+    pool.observe(ready_upstream("vm-1", "south"), router_start);
+    pool.observe(ready_upstream("vm-2", "north"), router_start);
+    pool.attempt_sent("vm-0");
+    pool.attempt_ended("vm-0", attempt_result::refused, refusal::domain_out, 0, router_start);
+    CHECK(chosen_vms(pool, router_start) == std::set<vm_name>{"vm-2"});
+}
+
+// Guards against requests to a VM whose agent has been silent.
+TEST_CASE("old reports and refused readiness are not used") {
+    upstream_pool pool = pool_with(2);
+    CHECK_FALSE(pool.choose({}, router_start + milliseconds(2001)).has_value());
+    pool.attempt_sent("vm-0");
+    pool.attempt_ended("vm-0", attempt_result::refused, refusal::draining, 0, router_start);
+    CHECK(chosen_vms(pool, router_start) == std::set<vm_name>{"vm-1"});
+    pool.observe(ready_upstream("vm-0"), router_start);
+    CHECK(chosen_vms(pool, router_start).size() == 2);
+}
+
+// Guards against an overload in which one refusal takes the upstream out until its next report.
+TEST_CASE("a refusal for lack of capacity is forgotten within an answer time") {
+    upstream_pool pool = pool_with(1);
+    pool.attempt_sent("vm-0");
+    pool.attempt_ended("vm-0", attempt_result::refused, refusal::no_capacity, 0, router_start);
+    CHECK_FALSE(pool.choose({}, router_start).has_value());
+    CHECK(pool.choose({}, router_start + milliseconds(20)).has_value());
+}
+
+// Guards against one broken upstream that answers errors fast and so attracts the load.
+TEST_CASE("an upstream that fails is set aside and comes back") {
+    upstream_pool pool = pool_with(4);
+    for (int i = 0; i < 5; ++i) {
+        answer(pool, "vm-0", attempt_result::failed, 10, router_start);
+    }
+    CHECK(pool.is_ejected("vm-0", router_start));
+    CHECK(chosen_vms(pool, router_start).count("vm-0") == 0);
+    const boot_time later = router_start + upstream_health::first_ejection;
+    CHECK(chosen_vms(pool, later).count("vm-0") == 1);
+    // On probation one request at a time is risked.
+    pool.attempt_sent("vm-0");
+    CHECK(chosen_vms(pool, later).count("vm-0") == 0);
+}
+
+// Guards against a slow upstream that never fails.
+TEST_CASE("an upstream several times slower than its peers is set aside") {
+    upstream_pool pool = pool_with(5);
+    std::set<vm_name> ejected;
+    for (int i = 0; i < 20; ++i) {
+        const boot_time now = router_start + milliseconds(200 * i);
+        for (int vm = 0; vm < 5; ++vm) {
+            const vm_name name = "vm-" + std::to_string(vm);
+            answer(pool, name, attempt_result::answered, vm == 3 ? 60000 : 6000, now);
+            if (pool.is_ejected(name, now)) {
+                ejected.insert(name);
+            }
+        }
+    }
+    CHECK(ejected == std::set<vm_name>{"vm-3"});
+}
+
+// Guards against an outage of a shared dependency in which all upstreams are set aside.
+TEST_CASE("never more than the share and never all are set aside") {
+    for (const int upstreams : {1, 2, 3, 11}) {
+        upstream_pool pool = pool_with(upstreams);
+        for (int i = 0; i < 100; ++i) {
+            for (int vm = 0; vm < upstreams; ++vm) {
+                answer(pool, "vm-" + std::to_string(vm), attempt_result::failed, 10, router_start);
+            }
+        }
+        int ejected = 0;
+        for (int vm = 0; vm < upstreams; ++vm) {
+            ejected += pool.is_ejected("vm-" + std::to_string(vm), router_start) ? 1 : 0;
+        }
+        CHECK(ejected == (upstreams == 1 ? 0 : upstreams == 11 ? 3 : 1));
+        CHECK(chosen_vms(pool, router_start).size() ==
+              static_cast<std::size_t>(upstreams - ejected));
+    }
+}
+
+// Guards against an ejected upstream that is the last one left and stays unused.
+TEST_CASE("ejections end early when the others leave") {
+    upstream_pool pool = pool_with(2);
+    for (int i = 0; i < 5; ++i) {
+        answer(pool, "vm-0", attempt_result::failed, 10, router_start);
+    }
+    CHECK(chosen_vms(pool, router_start) == std::set<vm_name>{"vm-1"});
+    pool.forget("vm-1");
+    CHECK(chosen_vms(pool, router_start) == std::set<vm_name>{"vm-0"});
+}
+
+// Guards against an ejection that a new connection of the agent cancels.
+TEST_CASE("an ejection outlives a new registration") {
+    upstream_pool pool = pool_with(3);
+    for (int i = 0; i < 5; ++i) {
+        answer(pool, "vm-0", attempt_result::failed, 10, router_start);
+    }
+    pool.forget("vm-0");
+    pool.observe(ready_upstream("vm-0"), router_start);
+    CHECK(pool.is_ejected("vm-0", router_start));
+}
+
+// Guards against memory that grows with each VM that was ever seen.
+TEST_CASE("a forgotten upstream leaves nothing behind") {
+    upstream_pool pool = pool_with(2);
+    pool.attempt_sent("vm-0");
+    pool.forget("vm-0");
+    pool.forget("vm-1");
+    CHECK_FALSE(pool.empty());
+    pool.attempt_ended("vm-0", attempt_result::answered, refusal::none, 100, router_start);
+    CHECK(pool.empty());
+}
+
+// Guards against a frozen upstream whose requests only ever reach their deadline.
+TEST_CASE("attempts without a result count as failures") {
+    upstream_pool pool = pool_with(3);
+    for (int i = 0; i < 5; ++i) {
+        pool.attempt_sent("vm-0");
+        pool.attempt_timed_out("vm-0", 2000000, router_start);
+    }
+    CHECK(pool.is_ejected("vm-0", router_start));
+    CHECK(pool.outstanding("vm-0") == 5);
+}
+
+// Guards against load that goes to the busiest upstream or only ever to the first of equals.
+TEST_CASE("the policies spread the load") {
+    for (const enum_name<routing_policy>& policy : routing_policy_names) {
+        routing_settings settings;
+        settings.policy = policy.value;
+        upstream_pool pool = pool_with(8, settings);
+        std::map<vm_name, int> sent;
+        for (int i = 0; i < 160; ++i) {
+            const std::optional<vm_name> vm = pool.choose({}, router_start);
+            REQUIRE(vm.has_value());
+            pool.attempt_sent(*vm);
+            ++sent[*vm];
+        }
+        CHECK(sent.size() == 8);
+        const int most = policy.value == routing_policy::random ? 40 : 26;
+        for (const auto& [vm, count] : sent) {
+            CHECK(count <= most);
+        }
+    }
+}
+
+// Guards against a choice by load alone while noisy neighbours slow down some of the upstreams.
+TEST_CASE("adaptive prefers upstreams that answer faster") {
+    upstream_pool pool = pool_with(2);
+    for (int i = 0; i < 20; ++i) {
+        answer(pool, "vm-0", attempt_result::answered, 3000, router_start);
+        answer(pool, "vm-1", attempt_result::answered, 1000, router_start);
+    }
+    CHECK(pool.choose({}, router_start) == "vm-1");
+}
+
+} // namespace
+} // namespace egretstile
