platform: add HTTP clients of the key-value service and the worker

The daemons need both clients. Each call has one deadline for connecting, sending and receiving; Poco's own timeouts hold for each receive alone. The session has no host name, so that Poco cannot reconnect and repeat a request by itself. An idle connection that the server has closed is dropped before use, as a request on it would count as unanswered.

Errors while connecting, 429 and 503 mean no effect; everything after the first byte sent without a whole, well-formed answer is no_answer. Answers without Content-Length are excluded: truncation of a chunked body is not recognisable through Poco's stream.

--- /dev/null
+++ b/packages/platform/source/key_value/http_key_value_store.cpp
@@ -0,0 +1,168 @@
+#include "http/http_client.hpp"
+
+#include <egretstile/platform/key_value/http_key_value_store.hpp>
+
+#include <Poco/URI.h>
+
+#include <charconv>
+#include <memory>
+#include <utility>
+
+namespace egretstile::platform {
+
+namespace {
+
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+
+std::string encoded(const std::string& text) {
+    std::string result;
+    Poco::URI::encode(text, "/?#:%&=+;@!$'()*,[]", result);
+    return result;
+}
+
+std::string key_target(const std::string& key) {
+    return "/v1/kv/" + encoded(key);
+}
+
+store_error error_of(int status) {
+    if (status == status_not_found) {
+        return store_error::not_found;
+    }
+    if (status == status_conflict) {
+        return store_error::conflict;
+    }
+    if (status == status_too_many) {
+        return store_error::rate_limited;
+    }
+    if (status == status_unavailable) {
+        return store_error::unavailable;
+    }
+    return status >= 400 && status < 500 ? store_error::rejected : store_error::no_answer;
+}
+
+bool succeeded(int status) {
+    return status >= 200 && status < 300;
+}
+
+/// The answer of a successful call, or of a call with status `also`; else its error.
+store_result<http_answer> checked(http_result result, int also = 0) {
+    if (const auto* const failure = std::get_if<http_failure>(&result)) {
+        return *failure == http_failure::not_sent ? store_error::unavailable
+                                                  : store_error::no_answer;
+    }
+    auto& answer = std::get<http_answer>(result);
+    if (succeeded(answer.status) || answer.status == also) {
+        return std::move(answer);
+    }
+    return error_of(answer.status);
+}
+
+std::optional<revision_number> revision_of(const http_answer& answer) {
+    revision_number revision = 0;
+    const char* const end = std::to_address(answer.revision.end());
+    const auto parsed = std::from_chars(answer.revision.data(), end, revision);
+    if (parsed.ec != std::errc() || parsed.ptr != end || revision == 0) {
+        return std::nullopt;
+    }
+    return revision;
+}
+
+store_result<stored_value> value_of_answer(http_result result) {
+    store_result<http_answer> answer = checked(std::move(result), status_not_found);
+    if (const auto* const error = std::get_if<store_error>(&answer)) {
+        return *error;
+    }
+    auto& present = std::get<http_answer>(answer);
+    if (present.status == status_not_found) {
+        return stored_value{};
+    }
+    const std::optional<revision_number> revision = revision_of(present);
+    if (!revision) {
+        return store_error::no_answer;
+    }
+    return stored_value{*revision, std::move(present.body)};
+}
+
+store_result<std::monostate> done(http_result result) {
+    const store_result<http_answer> answer = checked(std::move(result));
+    if (const auto* const error = std::get_if<store_error>(&answer)) {
+        return *error;
+    }
+    return std::monostate{};
+}
+
+} // namespace
+
+http_key_value_store::http_key_value_store(const std::string& host, std::uint16_t port,
+                                           milliseconds timeout)
+    : client_(std::make_unique<http_client>(host, port))
+    , timeout_(timeout) {}
+
+http_key_value_store::~http_key_value_store() = default;
+
+void http_key_value_store::abort() {
+    client_->abort();
+}
+
+store_result<stored_value> http_key_value_store::get(const std::string& key) {
+    return value_of_answer(client_->call({"GET", key_target(key), {}}, timeout_));
+}
+
+store_result<stored_value> http_key_value_store::watch(const std::string& key,
+                                                       revision_number after, milliseconds wait) {
+    const std::string target = key_target(key) + "?after=" + std::to_string(after) +
+                               "&wait_ms=" + std::to_string(wait.count());
+    return value_of_answer(client_->call({"GET", target, {}}, wait + timeout_));
+}
+
+store_result<revision_number>
+http_key_value_store::compare_and_swap(const std::string& key, revision_number expected,
+                                       const std::string& value,
+                                       const std::optional<lease_id>& lease) {
+    std::string target = key_target(key) + "?expected=" + std::to_string(expected);
+    if (lease) {
+        target += "&lease=" + encoded(*lease);
+    }
+    const store_result<http_answer> answer =
+        checked(client_->call({"PUT", target, value}, timeout_));
+    if (const auto* const error = std::get_if<store_error>(&answer)) {
+        return *error;
+    }
+    const std::optional<revision_number> revision = revision_of(std::get<http_answer>(answer));
+    if (!revision) {
+        return store_error::no_answer;
+    }
+    return *revision;
+}
+
+store_result<std::monostate> http_key_value_store::remove(const std::string& key,
+                                                          revision_number expected) {
+    const std::string target = key_target(key) + "?expected=" + std::to_string(expected);
+    return done(client_->call({"DELETE", target, {}}, timeout_));
+}
+
+store_result<lease_id> http_key_value_store::grant_lease(milliseconds time_to_live) {
+    const std::string target = "/v1/leases?ttl_ms=" + std::to_string(time_to_live.count());
+    store_result<http_answer> answer = checked(client_->call({"POST", target, {}}, timeout_));
+    if (const auto* const error = std::get_if<store_error>(&answer)) {
+        return *error;
+    }
+    std::string& lease = std::get<http_answer>(answer).body;
+    if (lease.empty()) {
+        return store_error::no_answer;
+    }
+    return std::move(lease);
+}
+
+store_result<std::monostate> http_key_value_store::renew_lease(const lease_id& lease) {
+    return done(client_->call({"POST", "/v1/leases/" + encoded(lease) + "/renew", {}}, timeout_));
+}
+
+store_result<std::monostate> http_key_value_store::revoke_lease(const lease_id& lease) {
+    return done(client_->call({"DELETE", "/v1/leases/" + encoded(lease), {}}, timeout_));
+}
+
+} // namespace egretstile::platform
--- /dev/null
+++ b/packages/platform/source/worker/worker_json.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <egretstile/core/admission/worker_types.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egretstile::platform {
+
+std::string start_to_json(const worker_start& start);
+std::string renewals_to_json(const std::vector<worker_renewal>& renewals);
+std::string lease_to_json(boot_time lease_until);
+
+/// Nothing when `text` is not a whole, well-formed status.
+std::optional<worker_status> status_from_json(const std::string& text);
+
+/// Nothing when `text` has no string field `checkpoint`.
+std::optional<std::string> checkpoint_from_json(const std::string& text);
+
+} // namespace egretstile::platform
