--- /dev/null
+++ b/testing/standins/common/service_process.cpp
@@ -0,0 +1,50 @@
+#include "common/service_process.hpp"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace egretstile::standins {
+
+namespace {
+
+sigset_t termination_signals() {
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+void block_termination() {
+    const sigset_t signals = termination_signals();
+    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void wait_for_termination() {
+    const sigset_t signals = termination_signals();
+    int received = 0;
+    ::sigwait(&signals, &received);
+}
+
+void write_ports_file(const std::string& path, const std::map<std::string, std::uint16_t>& ports) {
+    if (path.empty()) {
+        return;
+    }
+    const std::string unfinished = path + ".new";
+    {
+        std::ofstream output(unfinished);
+        output.exceptions(std::ios::badbit | std::ios::failbit);
+        const char* separator = "{";
+        for (const auto& [name, port] : ports) {
+            output << separator << '"' << name << "\":" << port;
+            separator = ",";
+        }
+        output << "}\n";
+    }
+    std::filesystem::rename(unfinished, path);
+}
+
+} // namespace egretstile::standins
