settings: load entry and agent settings from TOML

Each setting is declared once, in setting_table.cpp, with its name, unit, range and help; its default is the one of the struct. The loader, the error texts and the printed defaults all read this table, so they cannot disagree.

Required are the settings without a possible default: the key and token files, the addresses of the key-value service, the worker and the entries, and an agent's failure domain. Both plan bounds are at most 4 s (guarantee 4).

--- /dev/null
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -0,0 +1,215 @@
+#include "settings/setting_table.hpp"
+
+#include "telemetry/log.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+constexpr std::int64_t no_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t second_ms = 1000;
+constexpr std::int64_t minute_ms = 60 * second_ms;
+constexpr std::int64_t day_ms = 24 * 60 * minute_ms;
+
+/// Builds a table; each member function declares one setting.
+class table_builder {
+public:
+    /// `prefix` is the table of the file that holds the next settings, with its dot.
+    void set_prefix(std::string prefix) { prefix_ = std::move(prefix); }
+
+    template <typename Number>
+    void number(const char* name, const char* unit, Number& field, std::int64_t low,
+                std::int64_t high, const char* help) {
+        add(name, unit, help, false, std::make_unique<number_value<Number>>(field, low, high));
+    }
+
+    void duration(const char* name, milliseconds& field, std::int64_t low, std::int64_t high,
+                  const char* help) {
+        add(name, "ms", help, false, std::make_unique<duration_value>(field, low, high));
+    }
+
+    void text(const char* name, std::string& field, bool may_be_empty, const char* help) {
+        add(name, "", help, false, std::make_unique<text_value>(field, may_be_empty));
+    }
+
+    void required_text(const char* name, std::string& field, const char* help) {
+        add(name, "", help, true, std::make_unique<text_value>(field, false));
+    }
+
+    void secret_file(const char* name, std::string& field, const char* help) {
+        add(name, "", help, true, std::make_unique<secret_file_value>(field));
+    }
+
+    /// Address on which the process listens; port zero: chosen by the kernel.
+    void listen_address(const char* name, endpoint& field, const char* help) {
+        add(name, "", help, false, std::make_unique<endpoint_value>(field, true));
+    }
+
+    void remote_address(const char* name, endpoint& field, const char* help) {
+        add(name, "", help, true, std::make_unique<endpoint_value>(field, false));
+    }
+
+    void remote_addresses(const char* name, std::vector<endpoint>& field, const char* help) {
+        add(name, "", help, true, std::make_unique<endpoint_list_value>(field));
+    }
+
+    template <typename Enum, std::size_t Size>
+    void choice(const char* name, const std::array<enum_name<Enum>, Size>& table, Enum& field,
+                const char* help) {
+        add(name, "", help, false,
+            std::make_unique<name_value>(
+                names_in(table), [&table, &field] { return std::string(name_of(table, field)); },
+                [&table, &field](const std::string& text) {
+                    field = value_of(table, text).value_or(field);
+                }));
+    }
+
+    void choice(const char* name, std::vector<std::string> names, std::string& field,
+                const char* help) {
+        add(name, "", help, false,
+            std::make_unique<name_value>(
+                std::move(names), [&field] { return field; },
+                [&field](const std::string& text) { field = text; }));
+    }
+
+    setting_table take() { return std::move(table_); }
+
+private:
+    void add(const char* name, const char* unit, const char* help, bool required,
+             std::unique_ptr<setting_value> value) {
+        table_.push_back({prefix_ + name, unit, help, required, std::move(value)});
+    }
+
+    std::string prefix_;
+    setting_table table_;
+};
+
+void add_common(table_builder& table, common_settings& target) {
+    table.text("deployment", target.deployment, false,
+               "Name of the deployment; the same for all its processes.");
+    table.secret_file("deployment_key_file", target.deployment_key,
+                      "File with the key by which processes of the deployment authenticate each "
+                      "other.");
+    table.text("trace_file", target.trace_file, true,
+               "Traces are appended to this file as OTLP/JSON lines; empty: none.");
+    table.choice("log_level", names_in(log_level_names), target.log_level,
+                 "Log lines below this level are dropped.");
+    table.text("ports_file", target.ports_file, true,
+               "The chosen ports are written here as JSON when the process is ready; empty: not "
+               "written.");
+}
+
+void add_terms(table_builder& table, lease_terms& target) {
+    table.set_prefix("terms.");
+    table.duration("heartbeat_interval_ms", target.heartbeat_interval, 10, 10 * second_ms,
+                   "Time between two heartbeats of an agent.");
+    table.duration("session_ttl_ms", target.session_ttl, 100, minute_ms,
+                   "Time to live of an entry's session lease at the key-value service.");
+    table.duration("ownership_term_ms", target.ownership_term, 100, minute_ms,
+                   "How long a confirmation proves ownership of a shard.");
+    table.duration("grant_term_ms", target.grant_term, 100, minute_ms,
+                   "How long a grant lets a task run.");
+    table.duration("suspend_margin_ms", target.suspend_margin, 10, minute_ms,
+                   "The agent suspends a task this long before its grant ends.");
+    // A domain that was taken out of service must see no start after 4 s (guarantee 4), so neither
+    // bound may be longer.
+    table.duration("plan_freshness_bound_ms", target.plan_freshness_bound, 10, 4 * second_ms,
+                   "Oldest confirmation of the plan with which a task may start.");
+    table.duration("start_before_bound_ms", target.start_before_bound, 10, 4 * second_ms,
+                   "After the plan's confirmation the worker refuses a start later than this.");
+    table.duration("abandon_after_ms", target.abandon_after, second_ms, day_ms,
+                   "A detached task ends as interrupted after this time.");
+    table.set_prefix("");
+}
+
+void add_routing(table_builder& table, routing_settings& target) {
+    table.set_prefix("routing.");
+    table.choice("policy", routing_policy_names, target.policy, "How requests choose an upstream.");
+    table.number("retry_percent", "percent", target.retry_percent, 0, 100,
+                 "Retries and hedged requests allowed for each 100 requests.");
+    table.number("max_attempts", "", target.max_attempts, 1, 10,
+                 "Most attempts of one request, the first included.");
+    table.duration("report_lifetime_ms", target.report_lifetime, 10, minute_ms,
+                   "An upstream's report older than this is not used.");
+    table.number("max_outstanding", "requests", target.max_outstanding, 1, 100000,
+                 "Requests that one upstream may have from this entry, waiting ones included.");
+    table.number("seed", "", target.seed, 0, no_limit, "Seed of random choices.");
+    table.set_prefix("");
+}
+
+void add_ledger(table_builder& table, ledger_limits& target) {
+    table.set_prefix("ledger.");
+    table.number("max_failures", "", target.max_failures, 1, 100,
+                 "Attempts that fail before the task ends as failed.");
+    table.number("max_tasks", "tasks", target.max_tasks, 1, 1000000,
+                 "Tasks in a shard's record, final ones included; above it submissions are "
+                 "refused.");
+    table.duration("final_retention_ms", target.final_retention, 0, 30 * day_ms,
+                   "Final tasks are kept this long for duplicates of their submission.");
+    table.duration("resend_after_ms", target.resend_after, 10, minute_ms,
+                   "An unanswered start or stop is sent again after this time.");
+    table.set_prefix("");
+}
+
+} // namespace
+
+setting_table settings_of(entry_settings& target) {
+    table_builder table;
+    add_common(table, target.common);
+    table.text("name", target.name, false, "Name of this entry, unique in the deployment.");
+    table.text("failure_domain", target.failure_domain, true,
+               "Failure domain in which this entry runs.");
+    table.listen_address("callers", target.callers, "Address for callers' HTTP.");
+    table.listen_address("operators", target.operators, "Address for operators' HTTP.");
+    table.listen_address("peers", target.peers, "Address for agents and other entries.");
+    table.listen_address("advertised", target.advertised,
+                         "Address of `peers` as others reach it; port 0: the port that is bound.");
+    table.remote_address("key_value", target.key_value, "Address of the key-value service.");
+    table.duration("key_value_timeout_ms", target.key_value_timeout, 10, minute_ms,
+                   "A call to the key-value service fails after this time.");
+    table.secret_file("operator_token_file", target.operator_token,
+                      "File with the token that operators send.");
+    table.number("shard_count", "shards", target.shard_count, 1, 4096,
+                 "Number of shards; the same for all entries, fixed while there are tasks.");
+    table.duration("default_deadline_ms", target.default_deadline, 1, day_ms,
+                   "Deadline of a request that names none.");
+    table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
+                   "A planned shutdown waits this long for requests in progress.");
+    table.number("removal_limit_percent", "percent", target.removal_limit_percent, 0, 100,
+                 "Share of the plan's rows that a sheet may remove without confirmation.");
+    table.choice("placement", placement_policy_names, target.placement, "How tasks choose a VM.");
+    add_terms(table, target.common.terms);
+    add_routing(table, target.routing);
+    add_ledger(table, target.ledger);
+    return table.take();
+}
+
+setting_table settings_of(agent_settings& target) {
+    table_builder table;
+    add_common(table, target.common);
+    table.text("vm", target.vm, false, "Name of this VM, unique in the deployment.");
+    table.required_text("failure_domain", target.failure_domain,
+                        "Failure domain of this VM, as the plan names it.");
+    table.listen_address("announce", target.announce,
+                         "Address on which the upstream of this VM announces itself.");
+    table.remote_address("worker", target.worker, "Address of the worker of this VM.");
+    table.duration("worker_timeout_ms", target.worker_timeout, 10, minute_ms,
+                   "A call to the worker fails after this time.");
+    table.remote_addresses("entries", target.entries,
+                           "Addresses of entries to start with; heartbeat replies give the "
+                           "current list.");
+    table.duration("announce_lifetime_ms", target.announce_lifetime, 100, minute_ms,
+                   "An upstream that has not announced itself for this long is absent.");
+    table.number("max_waiting", "requests", target.max_waiting, 0, 100000,
+                 "Requests that wait for a slot, at most.");
+    table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
+                   "A planned shutdown waits this long for requests in progress.");
+    add_terms(table, target.common.terms);
+    return table.take();
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/settings/setting_table.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "settings/agent_settings.hpp"
+#include "settings/entry_settings.hpp"
+#include "settings/setting_value.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretstile::daemon {
+
+/// Declaration of one setting.
+struct setting {
+    /// Dotted name in the file, for example "terms.grant_term_ms".
+    std::string name;
+    /// Unit of a number; empty when it has none.
+    std::string unit;
+    std::string help;
+    /// Whether the file must hold it, because no default can be right.
+    bool required{false};
+    std::unique_ptr<setting_value> value;
+};
+
+using setting_table = std::vector<setting>;
+
+/// All settings of the role, connected with the fields of `target`, which must outlive the table.
+setting_table settings_of(entry_settings& target);
+setting_table settings_of(agent_settings& target);
+
+} // namespace egretstile::daemon
