--- a/packages/core/include/egretstile/core/shard/shard_ownership.hpp
+++ b/packages/core/include/egretstile/core/shard/shard_ownership.hpp
@@ -35,8 +35,9 @@
 
     shard_number shard() const { return shard_; }
 
-    /// Whether to claim now: this entry is the preferred one and the record names no owner, or an
-    /// owner whose session is known to be gone (read after the record was read).
+    /// Whether to claim now: this entry is the preferred one, does not own the shard, and the
+    /// record names no owner, this entry (a claim or release whose answer was lost), or an owner
+    /// whose session is known to be gone (read after the record was read).
     bool should_claim(const entry_id& preferred, const entry_id& recorded_owner,
                       bool owner_session_gone) const;
 
@@ -50,16 +51,25 @@
     /// The claim was refused or lost: another entry owns the shard.
     void claim_lost();
 
-    /// A commit of this shard, or a renewal of the session lease, sent at `sent_at` succeeded.
+    /// A commit of this shard, a renewal of the session lease, or a read of the record that still
+    /// names this entry and epoch, sent at `sent_at`, succeeded. Ignored unless the shard is owned.
     void confirmed(boot_time sent_at);
 
     /// Ownership is gone: a commit met another revision or the session lease has ended.
     void lost();
 
-    /// The shard is to be given up; ends with `lost` after the release was written.
+    /// The shard is to be given up: from now on nothing is granted, so that the next owner waits
+    /// only for the grant term. Call only when `may_release`. Ends with `lost` after the release
+    /// was written. Ignored unless the state is `owned`.
     void release();
 
-    /// Whether the owner may grant runs and send starts at `now`.
+    /// Whether a release at `now` is safe. After a takeover, runs that the former owner granted may
+    /// execute until `silent_runs_end`, but the entry that claims a released shard waits only for
+    /// the grant term. An entry that stops earlier ends its session without a release.
+    bool may_release(boot_time now) const;
+
+    /// Whether the owner may grant runs and send starts at `now`: less than the ownership term has
+    /// passed since the latest confirmation was sent.
     bool may_grant(boot_time now) const;
 
     /// Time before which a run that no agent reports since the claim may still execute.
--- a/packages/core/include/egretstile/core/task/shard_ledger.hpp
+++ b/packages/core/include/egretstile/core/task/shard_ledger.hpp
@@ -11,17 +11,24 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 namespace egretstile {
 
+struct run_end;
+
 /// Limits of one shard's record.
 struct ledger_limits {
     /// Attempts that fail before the task ends as failed.
     std::uint32_t max_failures{3};
     /// Tasks in the record, final ones included; above it submissions are refused.
     std::size_t max_tasks{4000};
+    /// Estimated size of the record above which submissions are refused. The key-value service
+    /// holds values up to 1 MB; the rest is left for VM names, checkpoints and outcomes of tasks
+    /// that are accepted already.
+    std::size_t max_bytes{750'000};
     /// Final tasks are kept so long for duplicates of their submission.
     milliseconds final_retention{24 * 3600 * 1000};
     /// An unanswered start or stop is sent again after this time.
@@ -46,10 +53,13 @@
 
 using ledger_command = std::variant<start_command, stop_command>;
 
-/// What one agent said in one heartbeat about the runs of this shard.
+/// What one agent said in one heartbeat about the runs of this shard; also when it listed none.
 struct vm_observation {
     vm_name vm;
     incarnation_number incarnation{0};
+    /// Number of the heartbeat. An observation with a lower incarnation, or a lower number of the
+    /// same incarnation, than one taken before changes no state.
+    std::uint64_t sequence{0};
     /// False: the agent has not read its worker; `runs` says nothing.
     bool worker_known{false};
     std::string worker_boot;
@@ -64,8 +74,8 @@
 };
 
 enum class submit_result : std::uint8_t {
-    pending,  ///< Will be accepted when the next commit is confirmed.
-    known,    ///< Same key and same spec: the task exists already.
+    pending,  ///< Will be accepted when the next commit is confirmed; also for a duplicate.
+    known,    ///< Same key and same spec: the task is committed already.
     conflict, ///< Same key with another spec.
     full      ///< The record takes no more tasks; nothing was changed.
 };
@@ -83,19 +93,35 @@
 /// A run ends for the ledger only when (a) the agent reports its end, (b) an agent of a later
 /// incarnation reports a complete list of the same worker boot without it (it never started),
 /// (c) the worker has a new boot id, or (d) its grant has certainly run out: `grant_term` with
-/// margin after the last answer to that VM, and not before `silent_runs_end`. After (b) the task is
-/// queued again. After (c) and (d) an idempotent task is queued again from its last checkpoint; a
-/// non-idempotent one becomes detached after (d), and interrupted after (c) or `abandon_after`.
+/// margin after the last answer that granted it or the last start command, and not before
+/// `silent_runs_end`. After (b) the task is queued again. After (c) and (d) an idempotent task is
+/// queued again from its last checkpoint; a non-idempotent one becomes detached after (d), and
+/// interrupted after (c) or `abandon_after`.
+///
+/// A start command is valid for `grant_term`, so it may reach the agent after its run was lost or
+/// has ended. (c) and the acknowledgement of an end therefore wait until no start of the run can
+/// be valid any more.
+///
+/// When the fate of a commit's write is not known, repeat the write with the same record and the
+/// same expected revision, and read the record when it is refused: it is confirmed when the record
+/// read is the one written.
 class shard_ledger {
 public:
     /// `record` is the claimed record as written. `silent_runs_end` as in `shard_ownership`.
     shard_ledger(shard_record record, boot_time silent_runs_end, const lease_terms& terms,
                  const ledger_limits& limits, boot_time now);
 
+    shard_ledger(const shard_ledger&) = delete;
+    shard_ledger& operator=(const shard_ledger&) = delete;
+    shard_ledger(shard_ledger&&) = default;
+    shard_ledger& operator=(shard_ledger&&) = default;
+    ~shard_ledger() = default;
+
     submit_result submit(const task_spec& spec, std::int64_t wall_now_ms);
 
-    /// Whether the key exists (also when only in the working copy). A queued task is cancelled, a
-    /// started one is stopped first; a final one stays as it is.
+    /// Whether the key exists (also when only in the working copy). A queued or parked task is
+    /// cancelled, a started one is stopped first; any other final one stays as it is. A run that
+    /// ends by itself before the stop keeps its result.
     bool cancel(const task_key& key);
 
     /// Committed state; nothing when the key is not committed.
@@ -103,10 +129,12 @@
     /// State with the changes that are not committed yet.
     const task_record* find(const task_key& key) const;
 
-    /// Tasks that wait for a VM, in order of acceptance.
+    /// Tasks that wait for a VM, in order of acceptance. The pointers are valid until the next call
+    /// of `tick`.
     std::vector<const task_record*> queued() const;
 
-    /// Commits the task to `vm`; the start command follows the commit. Precondition: it is queued.
+    /// Commits the task to `vm`; the start command follows the commit, and the first observation of
+    /// that incarnation and worker boot. Ignored unless the task is queued.
     void assign(const task_key& key, const vm_name& vm, incarnation_number incarnation,
                 const std::string& worker_boot, boot_time now);
 
@@ -116,29 +144,131 @@
     /// Commits the state parked with a reason; ignored unless the task is queued.
     void park(const task_key& key, const std::string& reason);
 
+    /// Commits a parked task as queued; ignored unless the task is parked.
+    void unpark(const task_key& key);
+
     /// Takes one agent's reports. Call only while the owner may grant, and send the answer at once:
     /// the ledger counts the grant from `now`.
     observation_answer observe(const vm_observation& observation, boot_time now);
 
     /// Takes the answer to one start (running, refused or starting), like a partial observation.
+    /// Call only with an answer of the incarnation that the start named: a later one may refuse a
+    /// start whose run it has not read from its worker yet.
     void start_answered(const vm_name& vm, const run_report& report, boot_time now);
 
     /// Ends what has certainly run out, drops old final tasks, repeats commands that got no answer.
+    /// Call at least each heartbeat interval while the owner may grant, and not otherwise: agents
+    /// cannot be granted meanwhile, so their silence does not count. A longer gap between calls
+    /// means such a time, and nothing runs out until one grant term after it.
     void tick(boot_time now, std::int64_t wall_now_ms);
 
     /// Snapshot with all changes so far; nothing when there is no change or a commit is in flight.
     std::optional<ledger_commit> take_commit();
+    /// Ignored unless this commit is in flight.
     void commit_confirmed(std::uint64_t number, boot_time now);
     /// The write certainly had no effect; its changes go into the next commit.
     void commit_failed(std::uint64_t number);
 
-    /// Commands whose commits are confirmed. Each is given once; unanswered ones come again.
+    /// Commands whose commits are confirmed. Each is given once; unanswered ones come again. Call
+    /// only while the owner may grant, and send at once; drop what cannot be sent.
     std::vector<ledger_command> take_commands();
 
     /// Keys whose committed state changed since the last call; wakes waiting callers.
     std::vector<task_key> take_committed_keys();
 
-    std::size_t size() const { return working_.size(); }
+    std::size_t size() const { return tasks_.size(); }
+
+private:
+    struct tracked_task {
+        task_record record;
+        /// Order of acceptance.
+        std::uint64_t order{0};
+        /// A start command of this attempt may have left, from this owner or a former one.
+        bool start_sent{false};
+        /// An agent reported the run to this owner.
+        bool answered{false};
+        /// The run certainly does not execute after this time.
+        boot_time granted_until{};
+        /// No start command of any attempt can be admitted after this time.
+        boot_time start_valid_until{};
+        std::optional<boot_time> command_sent_at;
+        /// When the grant of a non-idempotent run was found to have run out.
+        std::optional<boot_time> silent_since;
+        std::size_t bytes{0};
+    };
+
+    using task_index = std::map<std::uint64_t, tracked_task*>;
+
+    struct vm_contact {
+        bool known{false};
+        incarnation_number incarnation{0};
+        std::uint64_t sequence{0};
+        std::string worker_boot;
+        /// Tasks that may be running on the VM.
+        task_index tasks;
+    };
+
+    struct commit_in_flight {
+        std::uint64_t number{0};
+        /// Nothing: the task was dropped.
+        std::map<task_key, std::optional<task_record>> changes;
+    };
+
+    milliseconds grant_wait() const { return with_clock_margin(terms_.grant_term); }
+
+    void adopt(const task_record& record, boot_time silent_runs_end);
+    tracked_task* find_tracked(const task_key& key);
+    tracked_task* find_run(const vm_name& vm, const task_run& run);
+    /// Must follow every change of the record.
+    void record_changed(tracked_task& task);
+    void update_indexes(tracked_task& task);
+    void end_run(tracked_task& task, const run_end& end);
+    static bool is_stale(const vm_contact& contact, const vm_observation& observation);
+    void note_contact(vm_contact& contact, const vm_observation& observation);
+    void take_report(tracked_task& task, const run_report& report);
+    void take_unfinished(tracked_task& task, const run_report& report);
+    void take_absence(tracked_task& task, const vm_observation& observation);
+    void take_absence_same_agent(tracked_task& task);
+    void answer_report(const vm_name& vm, const run_report& report, observation_answer& answer);
+    bool may_acknowledge(const vm_name& vm, const task_run& run) const;
+
+    bool is_committed(const task_key& key) const;
+    void expire(tracked_task& task);
+    void repeat_command(tracked_task& task);
+    void drop_old_final_tasks();
+    std::optional<ledger_command> command_for(tracked_task& task);
+
+    shard_number shard_;
+    epoch_number epoch_;
+    entry_id owner_;
+    lease_terms terms_;
+    ledger_limits limits_;
+    boot_time now_;
+    boot_time last_tick_;
+    /// Nothing runs out before this time.
+    boot_time silence_counts_from_;
+    /// Nothing before the first submission or tick.
+    std::optional<std::int64_t> wall_now_ms_;
+
+    std::map<task_key, tracked_task> tasks_;
+    std::map<task_key, task_record> committed_;
+    std::uint64_t next_order_{0};
+    std::size_t bytes_{0};
+    task_index by_order_;
+    task_index queued_;
+    task_index active_;
+    /// Final tasks without the parked ones, by time of their end and order.
+    std::map<std::pair<std::int64_t, std::uint64_t>, tracked_task*> final_;
+    /// Final tasks whose end has no wall-clock time yet.
+    task_index undated_;
+    std::map<vm_name, vm_contact> vms_;
+
+    std::set<task_key> dirty_;
+    std::optional<commit_in_flight> in_flight_;
+    std::uint64_t last_commit_number_{0};
+    /// Tasks whose command may be due.
+    std::set<task_key> due_;
+    std::set<task_key> committed_keys_;
 };
 
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/task/task.hpp
+++ b/packages/core/include/egretstile/core/task/task.hpp
@@ -104,6 +104,9 @@
     std::string outcome;
     /// Wall-clock time of acceptance in milliseconds since 1970, for ageing and reports only.
     std::int64_t accepted_at_ms{0};
+    /// Wall-clock time of the final state in milliseconds since 1970; zero: none, parked,
+    /// or not known yet.
+    std::int64_t finished_at_ms{0};
 
     friend bool operator==(const task_record&, const task_record&) = default;
 };
--- /dev/null
+++ b/packages/core/source/task/shard_ledger.cpp
@@ -0,0 +1,573 @@
+#include "task/run_end.hpp"
+
+#include <egretstile/core/task/shard_ledger.hpp>
+
+#include <algorithm>
+
+namespace egretstile {
+
+namespace {
+
+/// Encoded size of the numbers and length fields of a task record, rounded up.
+constexpr std::size_t fixed_record_bytes = 200;
+
+std::size_t estimated_bytes(const task_record& record) {
+    return fixed_record_bytes + record.spec.key.size() + record.spec.team.size() +
+           record.spec.payload.size() + record.vm.size() + record.worker_boot.size() +
+           record.checkpoint.size() + record.outcome.size();
+}
+
+/// An operator may still resume or cancel a parked task, so it is kept.
+bool has_finished(task_state state) {
+    return is_final(state) && state != task_state::parked;
+}
+
+bool needs_answer(task_state state) {
+    return state == task_state::starting || state == task_state::evicting ||
+           state == task_state::cancelling;
+}
+
+} // namespace
+
+shard_ledger::shard_ledger(shard_record record, boot_time silent_runs_end, const lease_terms& terms,
+                           const ledger_limits& limits, boot_time now)
+    : shard_(record.shard)
+    , epoch_(record.epoch)
+    , owner_(std::move(record.owner))
+    , terms_(terms)
+    , limits_(limits)
+    , now_(now)
+    , last_tick_(now)
+    , silence_counts_from_(silent_runs_end) {
+    for (const task_record& task : record.tasks) {
+        adopt(task, silent_runs_end);
+        committed_.emplace(task.spec.key, task);
+    }
+    dirty_.clear();
+}
+
+void shard_ledger::adopt(const task_record& record, boot_time silent_runs_end) {
+    tracked_task& task = tasks_[record.spec.key];
+    task.record = record;
+    task.order = next_order_++;
+    task.start_sent = may_be_running(record.state);
+    task.granted_until = silent_runs_end;
+    // Also the end of an earlier attempt may not be acknowledged yet.
+    task.start_valid_until = silent_runs_end;
+    if (record.state == task_state::detached) {
+        task.silent_since = now_;
+    }
+    by_order_.emplace(task.order, &task);
+    record_changed(task);
+}
+
+submit_result shard_ledger::submit(const task_spec& spec, std::int64_t wall_now_ms) {
+    wall_now_ms_ = wall_now_ms;
+    const std::map<task_key, tracked_task>::const_iterator known = tasks_.find(spec.key);
+    if (known != tasks_.end()) {
+        if (!(known->second.record.spec == spec)) {
+            return submit_result::conflict;
+        }
+        return committed_.contains(spec.key) ? submit_result::known : submit_result::pending;
+    }
+    task_record record;
+    record.spec = spec;
+    record.accepted_at_ms = wall_now_ms;
+    if (tasks_.size() >= limits_.max_tasks ||
+        bytes_ + estimated_bytes(record) > limits_.max_bytes) {
+        return submit_result::full;
+    }
+    tracked_task& task = tasks_[spec.key];
+    task.record = std::move(record);
+    task.order = next_order_++;
+    by_order_.emplace(task.order, &task);
+    record_changed(task);
+    return submit_result::pending;
+}
+
+bool shard_ledger::cancel(const task_key& key) {
+    tracked_task* const task = find_tracked(key);
+    if (task == nullptr) {
+        return false;
+    }
+    const task_state state = task->record.state;
+    if (state == task_state::cancelling || has_finished(state)) {
+        return true;
+    }
+    if (may_be_running(state) && task->start_sent) {
+        task->record.state = task_state::cancelling;
+        task->command_sent_at.reset();
+    } else {
+        task->record.state = task_state::cancelled;
+        task->record.outcome = "cancelled before a start";
+    }
+    record_changed(*task);
+    return true;
+}
+
+const task_record* shard_ledger::find_committed(const task_key& key) const {
+    const std::map<task_key, task_record>::const_iterator found = committed_.find(key);
+    return found == committed_.end() ? nullptr : &found->second;
+}
+
+const task_record* shard_ledger::find(const task_key& key) const {
+    const std::map<task_key, tracked_task>::const_iterator found = tasks_.find(key);
+    return found == tasks_.end() ? nullptr : &found->second.record;
+}
+
+std::vector<const task_record*> shard_ledger::queued() const {
+    std::vector<const task_record*> records;
+    records.reserve(queued_.size());
+    for (const task_index::value_type& row : queued_) {
+        records.push_back(&row.second->record);
+    }
+    return records;
+}
+
+void shard_ledger::assign(const task_key& key, const vm_name& vm, incarnation_number incarnation,
+                          const std::string& worker_boot, boot_time now) {
+    now_ = std::max(now_, now);
+    tracked_task* const task = find_tracked(key);
+    if (task == nullptr || task->record.state != task_state::queued) {
+        return;
+    }
+    task->record.state = task_state::starting;
+    ++task->record.attempt;
+    task->record.vm = vm;
+    task->record.incarnation = incarnation;
+    task->record.worker_boot = worker_boot;
+    task->record.outcome.clear();
+    task->start_sent = false;
+    task->answered = false;
+    task->granted_until = now_ + grant_wait();
+    task->command_sent_at.reset();
+    task->silent_since.reset();
+    record_changed(*task);
+}
+
+void shard_ledger::evict(const task_key& key) {
+    tracked_task* const task = find_tracked(key);
+    if (task == nullptr || task->record.state != task_state::running) {
+        return;
+    }
+    task->record.state = task_state::evicting;
+    task->command_sent_at.reset();
+    record_changed(*task);
+}
+
+void shard_ledger::park(const task_key& key, const std::string& reason) {
+    tracked_task* const task = find_tracked(key);
+    if (task == nullptr || task->record.state != task_state::queued) {
+        return;
+    }
+    task->record.state = task_state::parked;
+    task->record.outcome = reason;
+    record_changed(*task);
+}
+
+void shard_ledger::unpark(const task_key& key) {
+    tracked_task* const task = find_tracked(key);
+    if (task == nullptr || task->record.state != task_state::parked) {
+        return;
+    }
+    task->record.state = task_state::queued;
+    task->record.outcome.clear();
+    record_changed(*task);
+}
+
+observation_answer shard_ledger::observe(const vm_observation& observation, boot_time now) {
+    now_ = std::max(now_, now);
+    observation_answer answer;
+    vm_contact& contact = vms_[observation.vm];
+    const bool stale = is_stale(contact, observation);
+    if (!stale) {
+        note_contact(contact, observation);
+    }
+    if (!observation.worker_known) {
+        return answer;
+    }
+    std::set<const tracked_task*> listed;
+    for (const run_report& report : observation.runs) {
+        tracked_task* const task = find_run(observation.vm, report.run);
+        if (task != nullptr && !stale) {
+            listed.insert(task);
+            take_report(*task, report);
+        }
+        answer_report(observation.vm, report, answer);
+    }
+    if (stale) {
+        return answer;
+    }
+    // A task may leave the index while it is handled.
+    for (task_index::iterator row = contact.tasks.begin(); row != contact.tasks.end();) {
+        tracked_task& task = *row->second;
+        ++row;
+        if (!listed.contains(&task)) {
+            take_absence(task, observation);
+        }
+    }
+    return answer;
+}
+
+void shard_ledger::start_answered(const vm_name& vm, const run_report& report, boot_time now) {
+    now_ = std::max(now_, now);
+    tracked_task* const task = find_run(vm, report.run);
+    if (task != nullptr) {
+        take_report(*task, report);
+    }
+}
+
+void shard_ledger::tick(boot_time now, std::int64_t wall_now_ms) {
+    now_ = std::max(now_, now);
+    wall_now_ms_ = wall_now_ms;
+    // Two heartbeats of each agent fall into the gap; a shorter one is only a late call.
+    if (now_ - last_tick_ > 2 * terms_.heartbeat_interval) {
+        silence_counts_from_ = std::max(silence_counts_from_, now_ + grant_wait());
+    }
+    last_tick_ = now_;
+    const task_index undated = std::move(undated_);
+    undated_.clear();
+    for (const task_index::value_type& row : undated) {
+        record_changed(*row.second);
+    }
+    // A task may leave the index while it is handled.
+    for (task_index::iterator row = active_.begin(); row != active_.end();) {
+        tracked_task& task = *row->second;
+        ++row;
+        expire(task);
+        repeat_command(task);
+    }
+    drop_old_final_tasks();
+}
+
+std::optional<ledger_commit> shard_ledger::take_commit() {
+    if (in_flight_) {
+        return std::nullopt;
+    }
+    std::erase_if(dirty_, [this](const task_key& key) { return is_committed(key); });
+    if (dirty_.empty()) {
+        return std::nullopt;
+    }
+    in_flight_.emplace();
+    in_flight_->number = ++last_commit_number_;
+    for (const task_key& key : dirty_) {
+        const task_record* const record = find(key);
+        in_flight_->changes.emplace(key, record == nullptr ? std::nullopt
+                                                           : std::optional<task_record>(*record));
+    }
+    dirty_.clear();
+    ledger_commit commit;
+    commit.number = in_flight_->number;
+    commit.record.shard = shard_;
+    commit.record.epoch = epoch_;
+    commit.record.owner = owner_;
+    commit.record.tasks.reserve(by_order_.size());
+    for (const task_index::value_type& row : by_order_) {
+        commit.record.tasks.push_back(row.second->record);
+    }
+    return commit;
+}
+
+bool shard_ledger::is_committed(const task_key& key) const {
+    const task_record* const working = find(key);
+    const task_record* const committed = find_committed(key);
+    if (working == nullptr || committed == nullptr) {
+        return working == committed;
+    }
+    return *working == *committed;
+}
+
+void shard_ledger::commit_confirmed(std::uint64_t number, boot_time now) {
+    now_ = std::max(now_, now);
+    if (!in_flight_ || in_flight_->number != number) {
+        return;
+    }
+    for (std::map<task_key, std::optional<task_record>>::value_type& change : in_flight_->changes) {
+        committed_keys_.insert(change.first);
+        due_.insert(change.first);
+        if (change.second) {
+            committed_[change.first] = std::move(*change.second);
+        } else {
+            committed_.erase(change.first);
+        }
+    }
+    in_flight_.reset();
+}
+
+void shard_ledger::commit_failed(std::uint64_t number) {
+    if (!in_flight_ || in_flight_->number != number) {
+        return;
+    }
+    for (const std::map<task_key, std::optional<task_record>>::value_type& change :
+         in_flight_->changes) {
+        dirty_.insert(change.first);
+    }
+    in_flight_.reset();
+}
+
+std::vector<ledger_command> shard_ledger::take_commands() {
+    std::vector<ledger_command> commands;
+    const std::set<task_key> due = std::move(due_);
+    due_.clear();
+    for (const task_key& key : due) {
+        tracked_task* const task = find_tracked(key);
+        if (task == nullptr) {
+            continue;
+        }
+        std::optional<ledger_command> command = command_for(*task);
+        if (command) {
+            task->command_sent_at = now_;
+            commands.push_back(std::move(*command));
+        }
+    }
+    return commands;
+}
+
+std::vector<task_key> shard_ledger::take_committed_keys() {
+    std::vector<task_key> keys(committed_keys_.begin(), committed_keys_.end());
+    committed_keys_.clear();
+    return keys;
+}
+
+shard_ledger::tracked_task* shard_ledger::find_tracked(const task_key& key) {
+    const std::map<task_key, tracked_task>::iterator found = tasks_.find(key);
+    return found == tasks_.end() ? nullptr : &found->second;
+}
+
+shard_ledger::tracked_task* shard_ledger::find_run(const vm_name& vm, const task_run& run) {
+    tracked_task* const task = find_tracked(run.key);
+    const bool current = task != nullptr && may_be_running(task->record.state) &&
+                         task->record.attempt == run.attempt && task->record.vm == vm;
+    return current ? task : nullptr;
+}
+
+void shard_ledger::record_changed(tracked_task& task) {
+    task_record& record = task.record;
+    if (!has_finished(record.state)) {
+        record.finished_at_ms = 0;
+    } else if (record.finished_at_ms == 0) {
+        record.finished_at_ms = wall_now_ms_.value_or(0);
+    }
+    const std::size_t bytes = estimated_bytes(record);
+    bytes_ += bytes - task.bytes;
+    task.bytes = bytes;
+    update_indexes(task);
+    dirty_.insert(record.spec.key);
+}
+
+void shard_ledger::update_indexes(tracked_task& task) {
+    const task_record& record = task.record;
+    queued_.erase(task.order);
+    active_.erase(task.order);
+    undated_.erase(task.order);
+    if (record.state == task_state::queued) {
+        queued_.emplace(task.order, &task);
+    }
+    if (may_be_running(record.state)) {
+        active_.emplace(task.order, &task);
+        vms_[record.vm].tasks.emplace(task.order, &task);
+    } else if (!record.vm.empty()) {
+        vms_[record.vm].tasks.erase(task.order);
+    }
+    if (!has_finished(record.state)) {
+        return;
+    }
+    if (record.finished_at_ms == 0) {
+        undated_.emplace(task.order, &task);
+    } else {
+        final_.emplace(std::pair(record.finished_at_ms, task.order), &task);
+    }
+}
+
+void shard_ledger::end_run(tracked_task& task, const run_end& end) {
+    apply_run_end(task.record, end, limits_.max_failures);
+    record_changed(task);
+}
+
+bool shard_ledger::is_stale(const vm_contact& contact, const vm_observation& observation) {
+    return std::pair(observation.incarnation, observation.sequence) <
+           std::pair(contact.incarnation, contact.sequence);
+}
+
+void shard_ledger::note_contact(vm_contact& contact, const vm_observation& observation) {
+    contact.incarnation = observation.incarnation;
+    contact.sequence = observation.sequence;
+    contact.known = observation.worker_known;
+    contact.worker_boot = observation.worker_boot;
+}
+
+void shard_ledger::take_report(tracked_task& task, const run_report& report) {
+    task.start_sent = true;
+    if (!has_ended(report.phase)) {
+        take_unfinished(task, report);
+        return;
+    }
+    // A run that executed cannot be refused; such a report comes from an agent that has not read
+    // its worker.
+    const bool executed =
+        task.record.state == task_state::running || task.record.state == task_state::evicting;
+    if (report.phase != run_phase::refused || !executed) {
+        end_run(task, reported_end(report));
+    }
+}
+
+void shard_ledger::take_unfinished(tracked_task& task, const run_report& report) {
+    task.answered = true;
+    task.silent_since.reset();
+    task_record& record = task.record;
+    const bool executes = report.phase != run_phase::starting;
+    bool changed = false;
+    if (record.state == task_state::detached ||
+        (record.state == task_state::starting && executes)) {
+        record.state = executes ? task_state::running : task_state::starting;
+        changed = true;
+    }
+    // A non-idempotent task resumes only from the checkpoint of a confirmed stop.
+    if (record.spec.idempotent && !report.checkpoint.empty() &&
+        report.checkpoint != record.checkpoint) {
+        record.checkpoint = report.checkpoint;
+        changed = true;
+    }
+    if (changed) {
+        record_changed(task);
+    }
+}
+
+void shard_ledger::take_absence(tracked_task& task, const vm_observation& observation) {
+    const task_record& record = task.record;
+    if (observation.incarnation < record.incarnation) {
+        return;
+    }
+    if (observation.worker_boot != record.worker_boot) {
+        if (!task.start_sent) {
+            end_run(task, {run_end_kind::never_started, {}, "never started"});
+        } else if (now_ > task.start_valid_until) {
+            end_run(task, {run_end_kind::worker_lost, {}, "the worker restarted"});
+        }
+        return;
+    }
+    if (observation.incarnation > record.incarnation) {
+        end_run(task, {run_end_kind::never_started, {}, "never started"});
+        return;
+    }
+    take_absence_same_agent(task);
+}
+
+void shard_ledger::take_absence_same_agent(tracked_task& task) {
+    if (!task.start_sent) {
+        // The commit of the start is slow; the VM is not.
+        task.granted_until = std::max(task.granted_until, now_ + grant_wait());
+        return;
+    }
+    if (task.record.state == task_state::detached) {
+        // The agent never got the start. It knows the run by key and attempt, should it have one.
+        task.record.state = task_state::starting;
+        task.answered = false;
+        task.silent_since.reset();
+        task.command_sent_at.reset();
+        record_changed(task);
+        return;
+    }
+    // The list may have been made before the start arrived, so it counts only a while later.
+    if (task.record.state == task_state::cancelling && !task.answered &&
+        now_ > task.start_valid_until + grant_wait()) {
+        end_run(task, {run_end_kind::never_started, {}, "cancelled before a start"});
+    }
+}
+
+void shard_ledger::answer_report(const vm_name& vm, const run_report& report,
+                                 observation_answer& answer) {
+    if (has_ended(report.phase)) {
+        if (may_acknowledge(vm, report.run)) {
+            answer.acknowledged.push_back(report.run);
+        }
+        return;
+    }
+    tracked_task* const task = find_run(vm, report.run);
+    if (task == nullptr) {
+        // Also when the end of the run is not committed yet: its next attempt may be assigned in
+        // the same commit, so the run must not be granted again.
+        answer.stop.push_back(report.run);
+        return;
+    }
+    task->granted_until = std::max(task->granted_until, now_ + grant_wait());
+}
+
+bool shard_ledger::may_acknowledge(const vm_name& vm, const task_run& run) const {
+    const std::map<task_key, tracked_task>::const_iterator task = tasks_.find(run.key);
+    if (task != tasks_.end() && now_ <= task->second.start_valid_until) {
+        // An acknowledged run is forgotten, so the agent would admit a late start of it.
+        return false;
+    }
+    const task_record* const record = find_committed(run.key);
+    if (record == nullptr) {
+        return true;
+    }
+    const bool open =
+        may_be_running(record->state) && record->attempt == run.attempt && record->vm == vm;
+    return record->attempt >= run.attempt && !open;
+}
+
+void shard_ledger::expire(tracked_task& task) {
+    if (now_ <= std::max(task.granted_until, silence_counts_from_)) {
+        return;
+    }
+    if (!task.start_sent) {
+        end_run(task, {run_end_kind::never_started, {}, "never started"});
+    } else if (!task.silent_since) {
+        task.silent_since = now_;
+        end_run(task, {run_end_kind::grant_over, {}, "the VM fell silent"});
+    } else if (now_ >= *task.silent_since + terms_.abandon_after) {
+        end_run(task, {run_end_kind::abandoned, {}, "the VM stayed silent"});
+    }
+}
+
+void shard_ledger::repeat_command(tracked_task& task) {
+    const bool waits = needs_answer(task.record.state) &&
+                       !(task.record.state == task_state::starting && task.answered);
+    if (waits && (!task.command_sent_at || now_ - *task.command_sent_at >= limits_.resend_after)) {
+        due_.insert(task.record.spec.key);
+    }
+}
+
+void shard_ledger::drop_old_final_tasks() {
+    while (!final_.empty()) {
+        tracked_task& task = *final_.begin()->second;
+        const task_key key = task.record.spec.key;
+        const task_record* const committed = find_committed(key);
+        if (task.record.finished_at_ms + limits_.final_retention.count() > *wall_now_ms_ ||
+            committed == nullptr || !has_finished(committed->state)) {
+            return;
+        }
+        final_.erase(final_.begin());
+        by_order_.erase(task.order);
+        bytes_ -= task.bytes;
+        dirty_.insert(key);
+        tasks_.erase(key);
+    }
+}
+
+std::optional<ledger_command> shard_ledger::command_for(tracked_task& task) {
+    const task_record& record = task.record;
+    const task_record* const committed = find_committed(record.spec.key);
+    if (committed == nullptr || committed->state != record.state ||
+        committed->attempt != record.attempt) {
+        return std::nullopt;
+    }
+    if (record.state == task_state::evicting || record.state == task_state::cancelling) {
+        return stop_command{
+            record.vm, {record.spec.key, record.attempt}, record.state == task_state::evicting};
+    }
+    const vm_contact& contact = vms_[record.vm];
+    if (record.state != task_state::starting || task.answered || !contact.known ||
+        contact.incarnation != record.incarnation || contact.worker_boot != record.worker_boot) {
+        return std::nullopt;
+    }
+    task.start_sent = true;
+    task.granted_until = std::max(task.granted_until, now_ + grant_wait());
+    task.start_valid_until = std::max(task.start_valid_until, now_ + grant_wait());
+    return start_command{record.vm, record.incarnation, record.spec, record.attempt,
+                         record.checkpoint};
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/tests/task/shard_ledger_runs_test.cpp
@@ -0,0 +1,518 @@
+#include "task/ledger_driver.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace egretstile {
+namespace {
+
+using testing::ledger_driver;
+using testing::taken_commands;
+
+constexpr lease_terms terms;
+const task_run first_run{"a", 1};
+
+run_report report(run_phase phase, const std::string& checkpoint = {},
+                  const std::string& detail = {}) {
+    return ledger_driver::report(first_run, phase, checkpoint, detail);
+}
+
+/// Longer than any start or grant of the driver is valid.
+milliseconds past_grant() {
+    return with_clock_margin(terms.grant_term) + milliseconds(500);
+}
+
+/// Lets time pass while vm-1 heartbeats with these runs.
+void heartbeat_for(ledger_driver& driver, milliseconds duration,
+                   const std::vector<run_report>& runs) {
+    const boot_time end = driver.now + duration;
+    while (driver.now < end) {
+        driver.pass(terms.heartbeat_interval);
+        driver.heartbeat("vm-1", runs);
+    }
+}
+
+TEST_CASE("a lost start or a lost answer to it is repaired by a repeated start") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    CHECK(driver.commands().starts.size() == 1);
+    driver.pass(milliseconds(500));
+    CHECK(driver.commands().starts.empty());
+    driver.pass(milliseconds(500));
+    const taken_commands taken = driver.commands();
+    REQUIRE(taken.starts.size() == 1);
+    CHECK(taken.starts[0].attempt == 1);
+    driver.ledger.start_answered("vm-1", report(run_phase::running), driver.now);
+    CHECK(driver.state("a") == task_state::running);
+    driver.pass(milliseconds(2000));
+    CHECK(driver.commands().starts.empty());
+}
+
+TEST_CASE("a lost start answer does not start the task twice when the heartbeat lists the run") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    driver.heartbeat("vm-1", {report(run_phase::running)});
+    CHECK(driver.state("a") == task_state::running);
+    heartbeat_for(driver, milliseconds(3000), {report(run_phase::running)});
+    CHECK(driver.commands().starts.empty());
+}
+
+TEST_CASE("a start whose worker call has no answer yet is not repeated") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    driver.ledger.start_answered("vm-1", report(run_phase::starting), driver.now);
+    driver.pass(milliseconds(2000));
+    CHECK(driver.commands().starts.empty());
+    CHECK(driver.state("a") == task_state::starting);
+}
+
+TEST_CASE("a refused start is queued again, and its late answer does not end the next attempt") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    driver.ledger.start_answered("vm-1", report(run_phase::refused), driver.now);
+    CHECK(driver.state("a") == task_state::queued);
+    CHECK(driver.ledger.find("a")->failures == 0);
+    driver.ledger.assign("a", "vm-2", 1, "boot-1", driver.now);
+    driver.ledger.start_answered("vm-1", report(run_phase::refused), driver.now);
+    CHECK(driver.state("a") == task_state::starting);
+    CHECK(driver.ledger.find("a")->attempt == 2);
+}
+
+TEST_CASE("a refusal does not end a run that executed") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.ledger.start_answered("vm-1", report(run_phase::refused), driver.now);
+    CHECK(driver.state("a") == task_state::running);
+}
+
+TEST_CASE("a start is sent only to the agent and worker boot it was committed for") {
+    ledger_driver driver;
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    driver.ledger.assign("a", "vm-1", 2, "boot-1", driver.now);
+    driver.commit();
+    CHECK(driver.commands().starts.empty());
+    driver.heartbeat("vm-1", 1, "boot-1", {});
+    driver.pass(milliseconds(500));
+    CHECK(driver.commands().starts.empty());
+    driver.heartbeat("vm-1", 2, "boot-1", {});
+    driver.pass(milliseconds(500));
+    CHECK(driver.commands().starts.size() == 1);
+}
+
+TEST_CASE("after an agent restart a run that its worker does not list is queued again at once") {
+    const bool idempotent = GENERATE(false, true);
+    ledger_driver driver;
+    driver.make_starting("a", idempotent);
+    driver.commands();
+    // The agent has not read its worker yet, so its list says nothing.
+    driver.ledger.observe({"vm-1", 2, 1, false, "", {}}, driver.now);
+    CHECK(driver.state("a") == task_state::starting);
+    driver.heartbeat("vm-1", 2, "boot-1", {});
+    CHECK(driver.state("a") == task_state::queued);
+}
+
+TEST_CASE("a list that an earlier incarnation made does not end a run of the later one") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.heartbeat("vm-1", 2, "boot-1", {});
+    driver.ledger.assign("a", "vm-1", 2, "boot-1", driver.now);
+    driver.commit();
+    REQUIRE(driver.commands().starts.size() == 1);
+    driver.heartbeat("vm-1", 1, "boot-0", {});
+    CHECK(driver.state("a") == task_state::starting);
+}
+
+TEST_CASE("a delayed heartbeat from before a worker restart does not end a run of the new boot") {
+    ledger_driver driver;
+    driver.heartbeat("vm-1", 1, "boot-2", {});
+    driver.ledger.submit(ledger_driver::spec("a", false), driver.wall_ms());
+    driver.ledger.assign("a", "vm-1", 1, "boot-2", driver.now);
+    driver.commit();
+    driver.commands();
+    driver.heartbeat("vm-1", 1, "boot-2", {report(run_phase::running)});
+    driver.ledger.observe({"vm-1", 1, 1, true, "boot-1", {}}, driver.now + past_grant());
+    CHECK(driver.state("a") == task_state::running);
+}
+
+TEST_CASE("after an agent restart a run that its worker lists goes on") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    const observation_answer answer =
+        driver.heartbeat("vm-1", 2, "boot-1", {report(run_phase::running)});
+    CHECK(answer.stop.empty());
+    CHECK(driver.state("a") == task_state::running);
+}
+
+TEST_CASE("after a worker restart an idempotent task is queued again from its checkpoint") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    heartbeat_for(driver, past_grant(), {report(run_phase::running, "half")});
+    driver.heartbeat("vm-1", 2, "boot-2", {});
+    CHECK(driver.state("a") == task_state::queued);
+    CHECK(driver.ledger.find("a")->checkpoint == "half");
+}
+
+TEST_CASE("after a worker restart a non-idempotent task is interrupted and never repeated") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    heartbeat_for(driver, past_grant(), {report(run_phase::running, "half")});
+    driver.heartbeat("vm-1", 2, "boot-2", {});
+    CHECK(driver.state("a") == task_state::interrupted);
+    CHECK(driver.ledger.queued().empty());
+}
+
+TEST_CASE("after a worker restart a task waits until a delayed start of it is invalid") {
+    ledger_driver driver;
+    driver.make_starting("a", true);
+    CHECK(driver.commands().starts.size() == 1);
+    // The start may still be on its way to the same agent, which would run it on the new boot.
+    driver.heartbeat("vm-1", 1, "boot-2", {});
+    CHECK(driver.state("a") == task_state::starting);
+    const boot_time start = driver.now;
+    while (driver.state("a") == task_state::starting) {
+        driver.pass(terms.heartbeat_interval);
+        driver.heartbeat("vm-1", 1, "boot-2", {});
+    }
+    CHECK(driver.now - start >= with_clock_margin(terms.grant_term));
+    CHECK(driver.state("a") == task_state::queued);
+}
+
+TEST_CASE("an idempotent task of a silent VM resumes elsewhere only after its grant") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    driver.heartbeat("vm-1", {report(run_phase::running, "half")});
+    driver.pass(with_clock_margin(terms.grant_term));
+    CHECK(driver.state("a") == task_state::running);
+    driver.pass(milliseconds(500));
+    CHECK(driver.state("a") == task_state::queued);
+    CHECK(driver.ledger.find("a")->checkpoint == "half");
+    // The VM is back: the old run must not go on beside the next one.
+    const observation_answer answer = driver.heartbeat("vm-1", {report(run_phase::suspended)});
+    CHECK(answer.stop == std::vector<task_run>{first_run});
+}
+
+TEST_CASE("a silent VM's non-idempotent task is detached, then adopted when the VM is back") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.pass(past_grant());
+    CHECK(driver.state("a") == task_state::detached);
+    CHECK(driver.ledger.queued().empty());
+    driver.commit();
+    const observation_answer answer = driver.heartbeat("vm-1", {report(run_phase::suspended)});
+    CHECK(answer.stop.empty());
+    CHECK(driver.state("a") == task_state::running);
+}
+
+TEST_CASE("a detached task ends as interrupted only after abandon_after") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.pass(past_grant());
+    driver.pass(terms.abandon_after - milliseconds(500));
+    CHECK(driver.state("a") == task_state::detached);
+    driver.pass(milliseconds(1000));
+    CHECK(driver.state("a") == task_state::interrupted);
+    const observation_answer answer = driver.heartbeat("vm-1", {report(run_phase::suspended)});
+    CHECK(answer.stop == std::vector<task_run>{first_run});
+}
+
+TEST_CASE("a detached task whose start never arrived is started when the VM is back") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    CHECK(driver.commands().starts.size() == 1);
+    driver.pass(past_grant());
+    driver.commit();
+    CHECK(driver.committed_state("a") == task_state::detached);
+    driver.heartbeat("vm-1", {});
+    driver.commit();
+    const taken_commands taken = driver.commands();
+    REQUIRE(taken.starts.size() == 1);
+    CHECK(taken.starts[0].attempt == 1);
+}
+
+TEST_CASE("an outage in which the owner could not grant does not end the runs of live agents") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    driver.make_running("b", false);
+    driver.now += milliseconds(60'000);
+    driver.tick();
+    CHECK(driver.state("a") == task_state::running);
+    CHECK(driver.state("b") == task_state::running);
+    const observation_answer answer =
+        driver.heartbeat("vm-1", {report(run_phase::suspended),
+                                  ledger_driver::report({"b", 1}, run_phase::suspended)});
+    CHECK(answer.stop.empty());
+    driver.pass(past_grant());
+    CHECK(driver.state("a") == task_state::queued);
+}
+
+TEST_CASE("a slow commit of a start does not end the assignment while the VM reports") {
+    ledger_driver driver;
+    driver.heartbeat("vm-1", {});
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    driver.ledger.assign("a", "vm-1", 1, "boot-1", driver.now);
+    heartbeat_for(driver, past_grant(), {});
+    CHECK(driver.state("a") == task_state::starting);
+    driver.pass(past_grant());
+    CHECK(driver.state("a") == task_state::queued);
+}
+
+/// Ledger of an entry that took over what `former` last wrote.
+ledger_driver successor_of(const ledger_driver& former) {
+    const boot_time claimed{milliseconds(100'000)};
+    const milliseconds wait =
+        with_clock_margin(terms.ownership_term) + with_clock_margin(terms.grant_term);
+    return ledger_driver(former.last_written, {}, claimed + wait);
+}
+
+TEST_CASE("after a takeover a run that no agent reports waits for silent_runs_end") {
+    ledger_driver former;
+    former.make_running("a", true);
+    former.make_running("b", false);
+    ledger_driver driver = successor_of(former);
+    driver.pass(milliseconds(10'000));
+    CHECK(driver.state("a") == task_state::running);
+    CHECK(driver.state("b") == task_state::running);
+    driver.pass(milliseconds(1000));
+    CHECK(driver.state("a") == task_state::queued);
+    CHECK(driver.state("b") == task_state::detached);
+}
+
+TEST_CASE("after a takeover reported runs are adopted and not started again") {
+    ledger_driver former;
+    former.make_starting("a", false);
+    former.commands();
+    ledger_driver driver = successor_of(former);
+    const observation_answer answer = driver.heartbeat("vm-1", {report(run_phase::running)});
+    CHECK(answer.stop.empty());
+    heartbeat_for(driver, milliseconds(15'000), {report(run_phase::running)});
+    CHECK(driver.state("a") == task_state::running);
+    CHECK(driver.commands().starts.empty());
+    CHECK(driver.ledger.find("a")->attempt == 1);
+}
+
+TEST_CASE("after a takeover a committed start is sent again with the same attempt") {
+    ledger_driver former;
+    former.make_starting("a", false);
+    ledger_driver driver = successor_of(former);
+    driver.pass(milliseconds(500));
+    CHECK(driver.commands().starts.empty());
+    driver.heartbeat("vm-1", {});
+    driver.pass(milliseconds(500));
+    const taken_commands taken = driver.commands();
+    REQUIRE(taken.starts.size() == 1);
+    CHECK(taken.starts[0].attempt == 1);
+}
+
+TEST_CASE("after a takeover a former owner's start may be valid, so a cancelled one is stopped") {
+    ledger_driver former;
+    former.make_starting("a", false);
+    ledger_driver driver = successor_of(former);
+    driver.ledger.cancel("a");
+    CHECK(driver.state("a") == task_state::cancelling);
+}
+
+TEST_CASE("a cancellation before the start left ends the task without a run") {
+    ledger_driver driver;
+    driver.make_starting("a", true);
+    driver.ledger.cancel("a");
+    CHECK(driver.state("a") == task_state::cancelled);
+    driver.commit();
+    driver.pass(milliseconds(2000));
+    CHECK(driver.commands().starts.empty());
+}
+
+TEST_CASE("a cancellation that races a sent start stops the run that the start makes") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    driver.ledger.cancel("a");
+    CHECK(driver.commands().stops.empty());
+    driver.commit();
+    taken_commands taken = driver.commands();
+    REQUIRE(taken.stops.size() == 1);
+    CHECK_FALSE(taken.stops[0].take_checkpoint);
+    // The agent ignored the stop of an unknown run; the start arrives after it.
+    driver.heartbeat("vm-1", {report(run_phase::running)});
+    CHECK(driver.state("a") == task_state::cancelling);
+    driver.pass(milliseconds(1000));
+    taken = driver.commands();
+    CHECK(taken.starts.empty());
+    CHECK(taken.stops.size() == 1);
+    driver.heartbeat("vm-1", {report(run_phase::stopped)});
+    CHECK(driver.state("a") == task_state::cancelled);
+}
+
+TEST_CASE("a cancellation whose start was lost ends while the VM reports") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    driver.ledger.cancel("a");
+    driver.commit();
+    heartbeat_for(driver, with_clock_margin(terms.grant_term), {});
+    CHECK(driver.state("a") == task_state::cancelling);
+    heartbeat_for(driver, past_grant(), {});
+    CHECK(driver.state("a") == task_state::cancelled);
+}
+
+TEST_CASE("a cancellation that races an eviction does not resume the task") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.ledger.evict("a");
+    driver.commit();
+    REQUIRE(driver.commands().stops.size() == 1);
+    driver.ledger.cancel("a");
+    driver.commit();
+    driver.heartbeat("vm-1", {report(run_phase::checkpointed, "half")});
+    CHECK(driver.state("a") == task_state::cancelled);
+    CHECK(driver.ledger.queued().empty());
+}
+
+TEST_CASE("a cancellation that races the end keeps the result of the run") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.ledger.cancel("a");
+    driver.commit();
+    driver.heartbeat("vm-1", {report(run_phase::succeeded, "", "done")});
+    CHECK(driver.state("a") == task_state::succeeded);
+    CHECK(driver.ledger.cancel("a"));
+    CHECK(driver.state("a") == task_state::succeeded);
+}
+
+TEST_CASE("a cancelled task of a silent VM is not forgotten and not resumed") {
+    const bool idempotent = GENERATE(false, true);
+    ledger_driver driver;
+    driver.make_running("a", idempotent);
+    driver.ledger.cancel("a");
+    driver.commit();
+    driver.pass(past_grant());
+    CHECK(driver.state("a") == (idempotent ? task_state::cancelled : task_state::cancelling));
+    driver.pass(terms.abandon_after);
+    CHECK(driver.state("a") == (idempotent ? task_state::cancelled : task_state::interrupted));
+    CHECK(driver.ledger.queued().empty());
+}
+
+TEST_CASE("a cancelled detached task is stopped when its VM is back, not adopted") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.pass(past_grant());
+    driver.ledger.cancel("a");
+    driver.commit();
+    driver.commands();
+    driver.heartbeat("vm-1", {report(run_phase::suspended)});
+    CHECK(driver.state("a") == task_state::cancelling);
+    driver.pass(milliseconds(1000));
+    CHECK(driver.commands().stops.size() == 1);
+}
+
+TEST_CASE("an eviction leaves after its commit and is repeated until the end is confirmed") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    driver.ledger.evict("a");
+    CHECK(driver.commands().stops.empty());
+    driver.commit();
+    const taken_commands taken = driver.commands();
+    REQUIRE(taken.stops.size() == 1);
+    CHECK(taken.stops[0].run == first_run);
+    CHECK(taken.stops[0].take_checkpoint);
+    driver.pass(milliseconds(1000));
+    CHECK(driver.commands().stops.size() == 1);
+}
+
+TEST_CASE("an evicted task resumes exactly once, from the checkpoint of the confirmed stop") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.ledger.evict("a");
+    driver.commit();
+    driver.commands();
+    for (int i = 0; i < 3; ++i) {
+        driver.heartbeat("vm-1", {report(run_phase::checkpointed, "half")});
+    }
+    CHECK(driver.ledger.queued().size() == 1);
+    CHECK(driver.ledger.find("a")->evictions == 1);
+    driver.heartbeat("vm-2", {});
+    driver.ledger.assign("a", "vm-2", 1, "boot-1", driver.now);
+    driver.commit();
+    driver.heartbeat("vm-1", {report(run_phase::checkpointed, "half")});
+    const taken_commands taken = driver.commands();
+    REQUIRE(taken.starts.size() == 1);
+    CHECK(taken.starts[0].vm == "vm-2");
+    CHECK(taken.starts[0].attempt == 2);
+    CHECK(taken.starts[0].checkpoint == "half");
+}
+
+TEST_CASE("a non-idempotent task does not resume from a checkpoint before its end") {
+    const run_phase phase = GENERATE(run_phase::stopped, run_phase::lease_expired);
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.heartbeat("vm-1", {report(run_phase::running, "early")});
+    driver.heartbeat("vm-1", {report(phase, "early")});
+    CHECK(driver.state("a") == task_state::interrupted);
+}
+
+TEST_CASE("an end is not acknowledged before it is committed") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    heartbeat_for(driver, past_grant(), {report(run_phase::running)});
+    const run_report end = report(run_phase::succeeded);
+    CHECK(driver.heartbeat("vm-1", {end}).acknowledged.empty());
+    const ledger_commit commit = driver.ledger.take_commit().value();
+    CHECK(driver.heartbeat("vm-1", {end}).acknowledged.empty());
+    driver.ledger.commit_confirmed(commit.number, driver.now);
+    CHECK(driver.heartbeat("vm-1", {end}).acknowledged == std::vector<task_run>{first_run});
+}
+
+TEST_CASE("an end is not acknowledged while a delayed start could run the attempt again") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    const run_report end = report(run_phase::succeeded);
+    driver.heartbeat("vm-1", {end});
+    driver.commit();
+    driver.pass(with_clock_margin(terms.grant_term) - milliseconds(50));
+    CHECK(driver.heartbeat("vm-1", {end}).acknowledged.empty());
+    driver.pass(milliseconds(100));
+    CHECK(driver.heartbeat("vm-1", {end}).acknowledged.size() == 1);
+}
+
+TEST_CASE("a reported run that the record does not hold is stopped or acknowledged") {
+    ledger_driver driver;
+    CHECK(driver.heartbeat("vm-1", {report(run_phase::running)}).stop.size() == 1);
+    CHECK(driver.heartbeat("vm-1", {report(run_phase::stopped)}).acknowledged.size() == 1);
+}
+
+TEST_CASE("a run on a VM other than the committed one is stopped") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    CHECK(driver.heartbeat("vm-2", {report(run_phase::running)}).stop.size() == 1);
+    CHECK(driver.ledger.find("a")->vm == "vm-1");
+}
+
+TEST_CASE("three failures end a task as failed, fewer queue it again") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    for (attempt_number attempt = 1; attempt <= 3; ++attempt) {
+        driver.heartbeat(
+            "vm-1", {ledger_driver::report({"a", attempt}, run_phase::failed, "", "disk full")});
+        driver.commit();
+        if (attempt < 3) {
+            REQUIRE(driver.state("a") == task_state::queued);
+            driver.ledger.assign("a", "vm-1", 1, "boot-1", driver.now);
+            driver.commit();
+        }
+    }
+    CHECK(driver.state("a") == task_state::failed);
+    CHECK(driver.ledger.find("a")->failures == 3);
+    CHECK(driver.ledger.find("a")->outcome == "disk full");
+}
+
+TEST_CASE(
+    "a non-idempotent task is not repeated after a failure that may have done half its work") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.heartbeat("vm-1", {report(run_phase::failed, "", "disk full")});
+    CHECK(driver.state("a") == task_state::failed);
+}
+
+} // namespace
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/tests/task/shard_ledger_test.cpp
@@ -0,0 +1,230 @@
+#include "task/ledger_driver.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace egretstile {
+namespace {
+
+using testing::ledger_driver;
+using testing::taken_commands;
+
+TEST_CASE("a task is not accepted before its commit is confirmed") {
+    ledger_driver driver;
+    CHECK(driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms()) ==
+          submit_result::pending);
+    const ledger_commit commit = driver.ledger.take_commit().value();
+    CHECK(driver.ledger.find_committed("a") == nullptr);
+    CHECK(driver.ledger.take_committed_keys().empty());
+    driver.ledger.commit_confirmed(commit.number, driver.now);
+    CHECK(driver.committed_state("a") == task_state::queued);
+    CHECK(driver.ledger.take_committed_keys() == std::vector<task_key>{"a"});
+}
+
+TEST_CASE("a duplicate submission does not create a second task") {
+    ledger_driver driver;
+    const task_spec spec = ledger_driver::spec("a", false);
+    driver.ledger.submit(spec, driver.wall_ms());
+    CHECK(driver.ledger.submit(spec, driver.wall_ms()) == submit_result::pending);
+    driver.commit();
+    CHECK(driver.ledger.submit(spec, driver.wall_ms()) == submit_result::known);
+    CHECK(driver.ledger.size() == 1);
+    CHECK(driver.last_written.tasks.size() == 1);
+}
+
+TEST_CASE("a duplicate of a finished task does not run it again") {
+    ledger_driver driver;
+    driver.make_running("a", false);
+    driver.heartbeat("vm-1", {ledger_driver::report({"a", 1}, run_phase::succeeded, "", "done")});
+    driver.commit();
+    CHECK(driver.ledger.submit(ledger_driver::spec("a", false), driver.wall_ms()) ==
+          submit_result::known);
+    CHECK(driver.ledger.queued().empty());
+    CHECK(driver.ledger.find("a")->outcome == "done");
+}
+
+TEST_CASE("a submission with the key of another task does not replace it") {
+    ledger_driver driver;
+    driver.ledger.submit(ledger_driver::spec("a", false), driver.wall_ms());
+    CHECK(driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms()) ==
+          submit_result::conflict);
+    CHECK_FALSE(driver.ledger.find("a")->spec.idempotent);
+}
+
+TEST_CASE("a full record refuses submissions instead of growing past the value limit") {
+    ledger_limits limits;
+    limits.max_tasks = 2;
+    ledger_driver driver({4, 2, "entry-a", {}}, limits);
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    driver.ledger.submit(ledger_driver::spec("b", true), driver.wall_ms());
+    CHECK(driver.ledger.submit(ledger_driver::spec("c", true), driver.wall_ms()) ==
+          submit_result::full);
+    CHECK(driver.ledger.submit(ledger_driver::spec("b", true), driver.wall_ms()) ==
+          submit_result::pending);
+    CHECK(driver.ledger.size() == 2);
+}
+
+TEST_CASE("large payloads fill the record before the value limit of the key-value service") {
+    ledger_driver driver;
+    task_spec spec = ledger_driver::spec("a", true);
+    task_spec other = ledger_driver::spec("b", true);
+    spec.payload.resize(400'000);
+    other.payload.resize(400'000);
+    CHECK(driver.ledger.submit(spec, driver.wall_ms()) == submit_result::pending);
+    CHECK(driver.ledger.submit(other, driver.wall_ms()) == submit_result::full);
+}
+
+TEST_CASE("queued tasks come in order of acceptance, also after a takeover") {
+    ledger_driver driver;
+    for (const task_key key : {"z", "m", "a"}) {
+        driver.ledger.submit(ledger_driver::spec(key, true), driver.wall_ms());
+    }
+    driver.commit();
+    ledger_driver successor(driver.last_written);
+    for (const shard_ledger* const ledger : {&driver.ledger, &successor.ledger}) {
+        std::vector<task_key> keys;
+        for (const task_record* const record : ledger->queued()) {
+            keys.push_back(record->spec.key);
+        }
+        CHECK(keys == std::vector<task_key>{"z", "m", "a"});
+    }
+}
+
+TEST_CASE("a start never leaves before its commit is confirmed") {
+    ledger_driver driver;
+    driver.heartbeat("vm-1", {});
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    driver.ledger.assign("a", "vm-1", 1, "boot-1", driver.now);
+    CHECK(driver.commands().starts.empty());
+    const ledger_commit commit = driver.ledger.take_commit().value();
+    driver.pass(milliseconds(2000));
+    CHECK(driver.commands().starts.empty());
+    driver.ledger.commit_confirmed(commit.number, driver.now);
+    const taken_commands taken = driver.commands();
+    REQUIRE(taken.starts.size() == 1);
+    CHECK(taken.starts[0].vm == "vm-1");
+    CHECK(taken.starts[0].attempt == 1);
+    CHECK(driver.commands().starts.empty());
+}
+
+TEST_CASE("a start of the working copy does not leave with the commit of an earlier change") {
+    ledger_driver driver;
+    driver.heartbeat("vm-1", {});
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    const ledger_commit acceptance = driver.ledger.take_commit().value();
+    driver.ledger.assign("a", "vm-1", 1, "boot-1", driver.now);
+    CHECK_FALSE(driver.ledger.take_commit().has_value());
+    driver.ledger.commit_confirmed(acceptance.number, driver.now);
+    CHECK(driver.commands().starts.empty());
+    CHECK(driver.committed_state("a") == task_state::queued);
+    driver.commit();
+    CHECK(driver.commands().starts.size() == 1);
+}
+
+TEST_CASE("a commit without effect is repeated with the next one, and nothing leaves meanwhile") {
+    ledger_driver driver;
+    driver.heartbeat("vm-1", {});
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    driver.ledger.assign("a", "vm-1", 1, "boot-1", driver.now);
+    const ledger_commit lost = driver.ledger.take_commit().value();
+    driver.ledger.submit(ledger_driver::spec("b", true), driver.wall_ms());
+    driver.ledger.commit_failed(lost.number);
+    CHECK(driver.commands().starts.empty());
+    const ledger_commit next = driver.ledger.take_commit().value();
+    CHECK(next.record.tasks.size() == 2);
+    driver.ledger.commit_confirmed(lost.number, driver.now);
+    CHECK(driver.commands().starts.empty());
+    driver.ledger.commit_confirmed(next.number, driver.now);
+    CHECK(driver.commands().starts.size() == 1);
+    CHECK(driver.committed_state("b") == task_state::queued);
+}
+
+TEST_CASE("while the answer of a commit is lost nothing else is written and nothing leaves") {
+    ledger_driver driver;
+    driver.make_running("a", true);
+    driver.ledger.evict("a");
+    const ledger_commit open = driver.ledger.take_commit().value();
+    driver.ledger.submit(ledger_driver::spec("b", true), driver.wall_ms());
+    driver.pass(milliseconds(4000));
+    CHECK_FALSE(driver.ledger.take_commit().has_value());
+    CHECK(driver.commands().stops.empty());
+    // The read of the record shows that the write took effect.
+    driver.ledger.commit_confirmed(open.number, driver.now);
+    CHECK(driver.commands().stops.size() == 1);
+    CHECK(driver.ledger.take_commit().has_value());
+}
+
+TEST_CASE("a ledger without changes writes nothing") {
+    ledger_driver driver;
+    CHECK_FALSE(driver.ledger.take_commit().has_value());
+    driver.make_running("a", true);
+    driver.heartbeat("vm-1", {ledger_driver::report({"a", 1}, run_phase::running)});
+    driver.tick();
+    CHECK_FALSE(driver.ledger.take_commit().has_value());
+}
+
+TEST_CASE("final tasks are dropped only after their retention, counted from their end") {
+    ledger_limits limits;
+    limits.final_retention = milliseconds(60'000);
+    ledger_driver driver({4, 2, "entry-a", {}}, limits);
+    driver.make_running("a", false);
+    // The task runs for longer than the retention.
+    for (int i = 0; i < 200; ++i) {
+        driver.pass(milliseconds(500));
+        driver.heartbeat("vm-1", {ledger_driver::report({"a", 1}, run_phase::running)});
+    }
+    driver.heartbeat("vm-1", {ledger_driver::report({"a", 1}, run_phase::succeeded)});
+    driver.commit();
+    driver.pass(milliseconds(59'000));
+    CHECK(driver.ledger.find("a") != nullptr);
+    driver.pass(milliseconds(2000));
+    CHECK(driver.ledger.find("a") == nullptr);
+    CHECK(driver.ledger.find_committed("a") != nullptr);
+    driver.commit();
+    CHECK(driver.ledger.find_committed("a") == nullptr);
+    CHECK(driver.last_written.tasks.empty());
+}
+
+TEST_CASE("the retention goes on after a takeover") {
+    ledger_limits limits;
+    limits.final_retention = milliseconds(60'000);
+    ledger_driver driver({4, 2, "entry-a", {}}, limits);
+    driver.ledger.submit(ledger_driver::spec("a", false), driver.wall_ms());
+    driver.ledger.cancel("a");
+    driver.commit();
+    ledger_driver successor(driver.last_written, limits);
+    successor.pass(milliseconds(59'000));
+    CHECK(successor.ledger.size() == 1);
+    successor.pass(milliseconds(2000));
+    CHECK(successor.ledger.size() == 0);
+}
+
+TEST_CASE("a parked task waits for an operator and is never dropped") {
+    ledger_limits limits;
+    limits.final_retention = milliseconds(1000);
+    ledger_driver driver({4, 2, "entry-a", {}}, limits);
+    driver.ledger.submit(ledger_driver::spec("a", false), driver.wall_ms());
+    driver.ledger.park("a", "fits no VM");
+    driver.commit();
+    driver.pass(milliseconds(5000));
+    REQUIRE(driver.ledger.find("a") != nullptr);
+    CHECK(driver.ledger.find("a")->outcome == "fits no VM");
+    CHECK(driver.ledger.queued().empty());
+    driver.ledger.unpark("a");
+    CHECK(driver.ledger.queued().size() == 1);
+    driver.ledger.park("a", "fits no VM");
+    CHECK(driver.ledger.cancel("a"));
+    CHECK(driver.state("a") == task_state::cancelled);
+}
+
+TEST_CASE("a cancelled queued task does not start, and an unknown key is not found") {
+    ledger_driver driver;
+    CHECK_FALSE(driver.ledger.cancel("a"));
+    driver.ledger.submit(ledger_driver::spec("a", true), driver.wall_ms());
+    CHECK(driver.ledger.cancel("a"));
+    driver.ledger.assign("a", "vm-1", 1, "boot-1", driver.now);
+    CHECK(driver.state("a") == task_state::cancelled);
+    CHECK(driver.ledger.queued().empty());
+}
+
+} // namespace
+} // namespace egretstile
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -33,7 +33,8 @@
 template <typename Archive>
 void serialize(Archive& archive, task_record& value) {
     archive(value.spec, value.state, value.attempt, value.vm, value.incarnation, value.worker_boot,
-            value.checkpoint, value.failures, value.evictions, value.outcome, value.accepted_at_ms);
+            value.checkpoint, value.failures, value.evictions, value.outcome, value.accepted_at_ms,
+            value.finished_at_ms);
 }
 
 template <typename Archive>
