--- a/packages/core/include/egretstile/core/admission/admission_controller.hpp
+++ b/packages/core/include/egretstile/core/admission/admission_controller.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <egretstile/core/admission/heartbeat_log.hpp>
 #include <egretstile/core/admission/refusal.hpp>
+#include <egretstile/core/admission/run_table.hpp>
+#include <egretstile/core/admission/worker_action.hpp>
 #include <egretstile/core/admission/worker_types.hpp>
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/identifiers.hpp>
@@ -37,7 +40,7 @@
     refusal reason{refusal::none};
 };
 
-/// The run is known already; the answer is its report.
+/// The run is known already, or may exist; the answer is its report.
 struct start_known {
     run_report report;
 };
@@ -49,13 +52,6 @@
 
 using start_decision = std::variant<start_refused, start_known, start_admitted>;
 
-/// Fate of a worker call.
-enum class call_result : std::uint8_t {
-    done,
-    refused, ///< The worker did not do it and will not.
-    unknown  ///< No answer: it may have taken effect.
-};
-
 /// What an owner says about one of its shards in a heartbeat reply.
 struct grant {
     shard_number shard{0};
@@ -76,23 +72,6 @@
     std::vector<task_run> acknowledged;
 };
 
-enum class worker_action_kind : std::uint8_t {
-    renew,
-    suspend,
-    resume,
-    stop,            ///< Stop without a checkpoint.
-    checkpoint_stop, ///< Checkpoint, then stop.
-    forget
-};
-
-/// A worker call that the agent must make now; its result goes to `action_finished`.
-struct worker_action {
-    worker_action_kind kind{worker_action_kind::renew};
-    task_run run;
-    /// New end of the lease of renew and resume.
-    boot_time lease_until;
-};
-
 /// Decides for one VM what may start and what may go on. The only place where capacity of the VM
 /// is reserved. Makes no calls; the agent makes them and gives back the results.
 ///
@@ -110,29 +89,53 @@
 public:
     admission_controller(incarnation_number incarnation, const lease_terms& terms);
 
-    /// Takes the worker's whole list. Also run phases, checkpoints and ends come from here. A run
-    /// that is listed but not known (after a restart of the agent) is taken over with the lease it
-    /// has as its grant. A new boot id drops all runs of the earlier boot.
-    void worker_observed(const worker_status& status, boot_time now);
-
+    /// Takes the worker's whole list, the answer to a call that was sent at `sent_at`. Also run
+    /// phases, checkpoints and ends come from here. A run that is listed but not known (after a
+    /// restart of the agent) is taken over with the lease it has as its grant.
+    ///
+    /// An admitted run that is not listed was not started only if the status call was sent after
+    /// the start's `start_before`; before that the start call may still arrive.
+    ///
+    /// A new boot id ends the runs of the earlier boot as `lease_expired`. While a start call may
+    /// still reach the new worker, the new boot is not taken and the worker counts as not known,
+    /// because the owner ends all runs of the earlier boot when it hears of the new one.
+    ///
+    /// A status is ignored when it was sent before the last one or more than a grant term ago. When
+    /// the worker has seen a later agent, nothing more is admitted.
+    void worker_observed(const worker_status& status, boot_time sent_at, boot_time now);
+
+    /// Whether `reports()` is complete and starts may be admitted; false until the first
+    /// `worker_observed`.
     bool worker_known() const { return worker_known_; }
 
+    /// Boot id to report; empty until the first `worker_observed`.
+    const std::string& worker_boot() const { return worker_boot_; }
+
+    /// A start that names another incarnation is answered as known with phase `starting` and is
+    /// not kept: an earlier agent may have started the run on an earlier boot of the worker, so a
+    /// refusal could be false. The owner decides by the next heartbeat.
+    /// A start is refused while another attempt of its task has not ended or a later attempt is
+    /// known; an earlier attempt is stopped then.
     start_decision request_start(const start_request& request, boot_time now);
 
     /// Result of the call of `start_admitted`. After `unknown` the run stays reserved and reported
-    /// as starting until a later `worker_observed`, made of a call sent after this one, decides.
+    /// as starting until `worker_observed` decides.
     void start_finished(const task_run& run, call_result result, boot_time now);
 
     /// The owner asks for the end of the run; a lower epoch or an unknown run is ignored.
     void request_stop(shard_number shard, epoch_number epoch, const task_run& run,
                       bool take_checkpoint);
 
-    /// Number for the next heartbeat to `entry`, sent at `now`; its runs are `reports()`.
+    /// Number for the next heartbeat to `entry`, sent at `now`; its runs are `reports()`, taken
+    /// without another call of this class in between. Numbers rise for each entry, with gaps.
     std::uint64_t heartbeat_sent(const entry_id& entry, boot_time now);
 
     /// Reports of all runs: unfinished, ended and not acknowledged, and refused.
-    std::vector<run_report> reports() const;
+    std::vector<run_report> reports() const { return runs_.reports(); }
 
+    /// Stops and acknowledgements count only for runs of shards that the reply grants with the
+    /// highest epoch, and that the answered heartbeat listed. An answer that arrives more than a
+    /// grant term after its heartbeat is ignored.
     void reply_received(const owner_reply& reply, boot_time now);
 
     /// Calls that are due. An action stays due, and is not given again, until `action_finished`.
@@ -149,9 +152,35 @@
 
     resources capacity() const { return capacity_; }
 
-    resources reserved() const;
+    resources reserved() const { return runs_.reserved(); }
 
     const plan_view& plan() const { return plan_; }
+
+private:
+    /// Why the start must be refused at `now`; none when it may be admitted.
+    refusal why_refused(const start_request& request, boot_time now);
+    refusal why_not_now(boot_time now) const;
+    worker_start make_call(const start_request& request, boot_time now) const;
+    start_decision answer_known(const agent_run& run) const;
+    /// Whether `epoch` is at least the highest seen of the shard; remembers it.
+    bool accept_epoch(shard_number shard, epoch_number epoch);
+    bool has_conflicting_attempt(const task_run& run);
+    void take_plan(const owner_reply& reply, boot_time sent_at);
+    void take_grant(const owner_reply& reply, shard_number shard, boot_time sent_at);
+
+    incarnation_number incarnation_;
+    lease_terms terms_;
+    heartbeat_log heartbeats_;
+    run_table runs_;
+    std::map<shard_number, epoch_number> epochs_;
+    plan_view plan_;
+    bool domain_in_service_{false};
+    bool vm_drained_{false};
+    bool draining_{false};
+    bool worker_known_{false};
+    std::string worker_boot_;
+    std::optional<boot_time> observed_sent_at_;
+    resources capacity_;
 };
 
 } // namespace egretstile
--- /dev/null
+++ b/packages/core/include/egretstile/core/admission/heartbeat_log.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/identifiers.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace egretstile {
+
+/// Send times of the heartbeats to each entry, kept for one grant term: an older one can neither
+/// grant nor start a run. Not thread-safe.
+class heartbeat_log {
+public:
+    explicit heartbeat_log(milliseconds grant_term)
+        : grant_term_(grant_term) {}
+
+    /// Notes a heartbeat to `entry` and gives its sequence number. The numbers of all entries come
+    /// from one counter: they rise for each entry and are not reused after an entry is forgotten.
+    std::uint64_t add(const entry_id& entry, boot_time now);
+
+    /// Send time of that heartbeat; nothing when it was not sent to `entry` or is older than the
+    /// grant term.
+    std::optional<boot_time> sent_at(const entry_id& entry, std::uint64_t sequence,
+                                     boot_time now) const;
+
+    /// Number that the next heartbeat will have.
+    std::uint64_t next_sequence() const { return next_sequence_; }
+
+    /// Send times kept, of all entries.
+    std::size_t size() const;
+
+private:
+    using send_times = std::map<std::uint64_t, boot_time>;
+
+    void drop_expired(boot_time now);
+
+    milliseconds grant_term_;
+    std::uint64_t next_sequence_{1};
+    std::map<entry_id, send_times> sent_;
+};
+
+} // namespace egretstile
--- a/packages/core/include/egretstile/core/base/identifiers.hpp
+++ b/packages/core/include/egretstile/core/base/identifiers.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace egretstile {
 
@@ -29,7 +30,10 @@
     attempt_number attempt{0};
 
     friend bool operator==(const task_run&, const task_run&) = default;
-    friend auto operator<=>(const task_run&, const task_run&) = default;
+
+    friend bool operator<(const task_run& left, const task_run& right) {
+        return std::tie(left.key, left.attempt) < std::tie(right.key, right.attempt);
+    }
 };
 
 } // namespace egretstile
--- /dev/null
+++ b/packages/core/source/admission/admission_controller.cpp
@@ -0,0 +1,229 @@
+#include <egretstile/core/admission/admission_controller.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace egretstile {
+
+namespace {
+
+task_run run_of(const start_request& request) {
+    return {request.spec.key, request.attempt};
+}
+
+bool is_valid(const resources& need) {
+    return fits({}, need);
+}
+
+} // namespace
+
+admission_controller::admission_controller(incarnation_number incarnation, const lease_terms& terms)
+    : incarnation_(incarnation)
+    , terms_(terms)
+    , heartbeats_(terms.grant_term)
+    , runs_(terms.grant_term) {}
+
+void admission_controller::worker_observed(const worker_status& status, boot_time sent_at,
+                                           boot_time now) {
+    const bool outdated =
+        (observed_sent_at_ && sent_at < *observed_sent_at_) || sent_at + terms_.grant_term < now;
+    if (outdated) {
+        return;
+    }
+    observed_sent_at_ = sent_at;
+    const bool restarted = !worker_boot_.empty() && worker_boot_ != status.boot;
+    worker_known_ =
+        status.incarnation <= incarnation_ && !(restarted && runs_.may_start_after(sent_at));
+    if (!worker_known_) {
+        return;
+    }
+    if (restarted) {
+        runs_.worker_restarted(now);
+    }
+    worker_boot_ = status.boot;
+    capacity_ = status.capacity;
+    runs_.observe(status.runs, heartbeats_.next_sequence(), sent_at, now);
+}
+
+start_decision admission_controller::request_start(const start_request& request, boot_time now) {
+    const task_run run = run_of(request);
+    const bool epoch_accepted = accept_epoch(request.shard, request.epoch);
+    if (const agent_run* const known = runs_.find(run)) {
+        return answer_known(*known);
+    }
+    if (const agent_run* const retired = runs_.find_retired(run)) {
+        return answer_known(*retired);
+    }
+    if (request.incarnation != incarnation_) {
+        return start_known{{run, request.shard, run_phase::starting, "", ""}};
+    }
+    const refusal reason = epoch_accepted ? why_refused(request, now) : refusal::stale_epoch;
+    if (reason != refusal::none) {
+        runs_.add(agent_run::refused(run, request.shard, reason, heartbeats_.next_sequence()));
+        return start_refused{reason};
+    }
+    const worker_start call = make_call(request, now);
+    runs_.add(agent_run::admitted(call, heartbeats_.next_sequence()));
+    return start_admitted{call};
+}
+
+void admission_controller::start_finished(const task_run& run, call_result result, boot_time now) {
+    if (agent_run* const known = runs_.find(run)) {
+        known->start_finished(result, now);
+    }
+}
+
+void admission_controller::request_stop(shard_number shard, epoch_number epoch, const task_run& run,
+                                        bool take_checkpoint) {
+    agent_run* const known = runs_.find(run);
+    if (!accept_epoch(shard, epoch) || known == nullptr || known->report().shard != shard) {
+        return;
+    }
+    known->request_stop(take_checkpoint ? stop_request::with_checkpoint
+                                        : stop_request::without_checkpoint);
+}
+
+std::uint64_t admission_controller::heartbeat_sent(const entry_id& entry, boot_time now) {
+    runs_.retire(now);
+    return heartbeats_.add(entry, now);
+}
+
+void admission_controller::reply_received(const owner_reply& reply, boot_time now) {
+    const std::optional<boot_time> sent_at = heartbeats_.sent_at(reply.entry, reply.sequence, now);
+    if (!sent_at) {
+        return;
+    }
+    take_plan(reply, *sent_at);
+    for (const grant& granted : reply.grants) {
+        if (accept_epoch(granted.shard, granted.epoch)) {
+            take_grant(reply, granted.shard, *sent_at);
+        }
+    }
+    runs_.retire(now);
+}
+
+std::vector<worker_action> admission_controller::due_actions(boot_time now) {
+    std::vector<worker_action> result;
+    for (auto& [name, run] : runs_.runs()) {
+        if (const std::optional<worker_action> action = run.take_due_action(terms_, now)) {
+            result.push_back(*action);
+        }
+    }
+    return result;
+}
+
+void admission_controller::action_finished(const worker_action& action, call_result result,
+                                           const std::string& checkpoint, boot_time now) {
+    if (agent_run* const known = runs_.find(action.run)) {
+        known->action_finished(action, result, checkpoint, terms_, now);
+        runs_.retire(now);
+    }
+}
+
+refusal admission_controller::why_refused(const start_request& request, boot_time now) {
+    const refusal reason = why_not_now(now);
+    if (reason != refusal::none) {
+        return reason;
+    }
+    const worker_start call = make_call(request, now);
+    if (call.lease_until <= now) {
+        return refusal::grant_expired;
+    }
+    if (call.start_before <= now) {
+        return refusal::plan_stale;
+    }
+    if (has_conflicting_attempt(call.run)) {
+        return refusal::duplicate;
+    }
+    const bool has_room =
+        is_valid(request.spec.need) && fits(request.spec.need, capacity_ - runs_.reserved());
+    return has_room ? refusal::none : refusal::no_capacity;
+}
+
+refusal admission_controller::why_not_now(boot_time now) const {
+    if (!worker_known_) {
+        return refusal::not_ready;
+    }
+    if (draining()) {
+        return refusal::draining;
+    }
+    if (!plan_.is_fresh(now, terms_.plan_freshness_bound)) {
+        return refusal::plan_stale;
+    }
+    return domain_in_service_ ? refusal::none : refusal::domain_out;
+}
+
+/// Precondition: a plan was confirmed. The lease of a start without a valid heartbeat is over.
+worker_start admission_controller::make_call(const start_request& request, boot_time now) const {
+    const std::optional<boot_time> sent_at =
+        heartbeats_.sent_at(request.entry, request.heartbeat_sequence, now);
+    const boot_time grant_end = sent_at ? *sent_at + terms_.grant_term : now;
+    const boot_time plan_end = plan_.confirmed_at().value_or(now) + terms_.start_before_bound;
+    worker_start call;
+    call.run = run_of(request);
+    call.shard = request.shard;
+    call.spec = request.spec;
+    call.checkpoint = request.checkpoint;
+    call.lease_until = grant_end;
+    call.start_before = std::min(grant_end, plan_end);
+    return call;
+}
+
+start_decision admission_controller::answer_known(const agent_run& run) const {
+    if (run.report().phase == run_phase::refused) {
+        return start_refused{run.reason()};
+    }
+    return start_known{run.report()};
+}
+
+bool admission_controller::accept_epoch(shard_number shard, epoch_number epoch) {
+    if (epoch == 0) {
+        return false;
+    }
+    epoch_number& highest = epochs_[shard];
+    highest = std::max(highest, epoch);
+    return epoch == highest;
+}
+
+bool admission_controller::has_conflicting_attempt(const task_run& run) {
+    const std::vector<agent_run*> others = runs_.conflicting(run);
+    for (agent_run* const other : others) {
+        if (other->report().run.attempt < run.attempt) {
+            other->request_stop(stop_request::without_checkpoint);
+        }
+    }
+    return !others.empty();
+}
+
+void admission_controller::take_plan(const owner_reply& reply, boot_time sent_at) {
+    if (!reply.plan_known || reply.plan_age < milliseconds(0) ||
+        reply.plan_revision < plan_.revision()) {
+        return;
+    }
+    // Keeps the subtraction in range; such a plan is far from fresh anyway.
+    constexpr milliseconds longest_age = std::chrono::hours(24);
+    plan_.confirm(reply.plan_revision, sent_at - std::min(reply.plan_age, longest_age));
+    domain_in_service_ = reply.domain_in_service;
+    vm_drained_ = reply.vm_drained;
+}
+
+void admission_controller::take_grant(const owner_reply& reply, shard_number shard,
+                                      boot_time sent_at) {
+    const std::set<task_run> stop(reply.stop.begin(), reply.stop.end());
+    const std::set<task_run> acknowledged(reply.acknowledged.begin(), reply.acknowledged.end());
+    for (auto& [name, run] : runs_.runs()) {
+        if (run.report().shard != shard || !run.listed_in(reply.sequence)) {
+            continue;
+        }
+        if (acknowledged.contains(name)) {
+            run.acknowledge();
+        }
+        if (stop.contains(name)) {
+            run.request_stop(stop_request::without_checkpoint);
+        } else {
+            run.extend_grant(sent_at + terms_.grant_term);
+        }
+    }
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/tests/plan/plan_view_test.cpp
@@ -0,0 +1,50 @@
+#include <egretstile/core/plan/plan_view.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace egretstile {
+namespace {
+
+boot_time at(int milliseconds_since_boot) {
+    return boot_time(milliseconds(milliseconds_since_boot));
+}
+
+TEST_CASE("a plan that was never confirmed is not fresh") {
+    const plan_view view;
+    CHECK_FALSE(view.is_fresh(at(0), milliseconds(3000)));
+    CHECK(view.revision() == 0);
+}
+
+TEST_CASE("a lower revision neither replaces the plan nor makes it fresher") {
+    plan_view view;
+    CHECK(view.confirm(5, at(1000)));
+    CHECK_FALSE(view.confirm(4, at(9000)));
+    CHECK(view.revision() == 5);
+    CHECK(view.confirmed_at() == at(1000));
+}
+
+TEST_CASE("a late confirmation of the same revision does not make the plan older") {
+    plan_view view;
+    view.confirm(5, at(2000));
+    CHECK_FALSE(view.confirm(5, at(1000)));
+    CHECK(view.confirmed_at() == at(2000));
+    view.confirm(5, at(3000));
+    CHECK(view.confirmed_at() == at(3000));
+}
+
+TEST_CASE("a higher revision keeps the time up to which a lower one was current") {
+    plan_view view;
+    view.confirm(5, at(2000));
+    CHECK(view.confirm(6, at(1500)));
+    CHECK(view.confirmed_at() == at(2000));
+}
+
+TEST_CASE("a plan older than the bound is not fresh") {
+    plan_view view;
+    view.confirm(1, at(1000));
+    CHECK(view.is_fresh(at(4000), milliseconds(3000)));
+    CHECK_FALSE(view.is_fresh(at(4001), milliseconds(3000)));
+}
+
+} // namespace
+} // namespace egretstile
