--- a/packages/core/include/egretstile/core/task/shard_ledger.hpp
+++ b/packages/core/include/egretstile/core/task/shard_ledger.hpp
@@ -4,14 +4,15 @@
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/core/base/terms.hpp>
 #include <egretstile/core/shard/shard_record.hpp>
+#include <egretstile/core/task/group_commit.hpp>
 #include <egretstile/core/task/task.hpp>
+#include <egretstile/core/task/task_table.hpp>
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -80,12 +81,6 @@
     full      ///< The record takes no more tasks; nothing was changed.
 };
 
-/// A snapshot to write with compare-and-swap.
-struct ledger_commit {
-    std::uint64_t number{0};
-    shard_record record;
-};
-
 /// Tasks of one shard, as their owner keeps them. Changes apply to a working copy; commands and
 /// acknowledgements that rest on a change are given out only after the commit that holds it was
 /// confirmed. Makes no calls. Not thread-safe; `now` must not go back.
@@ -108,15 +103,9 @@
 class shard_ledger {
 public:
     /// `record` is the claimed record as written. `silent_runs_end` as in `shard_ownership`.
-    shard_ledger(shard_record record, boot_time silent_runs_end, const lease_terms& terms,
+    shard_ledger(const shard_record& record, boot_time silent_runs_end, const lease_terms& terms,
                  const ledger_limits& limits, boot_time now);
 
-    shard_ledger(const shard_ledger&) = delete;
-    shard_ledger& operator=(const shard_ledger&) = delete;
-    shard_ledger(shard_ledger&&) = default;
-    shard_ledger& operator=(shard_ledger&&) = default;
-    ~shard_ledger() = default;
-
     submit_result submit(const task_spec& spec, std::int64_t wall_now_ms);
 
     /// Whether the key exists (also when only in the working copy). A queued or parked task is
@@ -179,68 +168,41 @@
     std::size_t size() const { return tasks_.size(); }
 
 private:
-    struct tracked_task {
-        task_record record;
-        /// Order of acceptance.
-        std::uint64_t order{0};
-        /// A start command of this attempt may have left, from this owner or a former one.
-        bool start_sent{false};
-        /// An agent reported the run to this owner.
-        bool answered{false};
-        /// The run certainly does not execute after this time.
-        boot_time granted_until{};
-        /// No start command of any attempt can be admitted after this time.
-        boot_time start_valid_until{};
-        std::optional<boot_time> command_sent_at;
-        /// When the grant of a non-idempotent run was found to have run out.
-        std::optional<boot_time> silent_since;
-        std::size_t bytes{0};
-    };
-
-    using task_index = std::map<std::uint64_t, tracked_task*>;
-
+    /// What the last observation said about an agent and its worker.
     struct vm_contact {
-        bool known{false};
-        incarnation_number incarnation{0};
-        std::uint64_t sequence{0};
+        bool worker_known;
+        incarnation_number incarnation;
+        std::uint64_t sequence;
         std::string worker_boot;
-        /// Tasks that may be running on the VM.
-        task_index tasks;
-    };
-
-    struct commit_in_flight {
-        std::uint64_t number{0};
-        /// Nothing: the task was dropped.
-        std::map<task_key, std::optional<task_record>> changes;
     };
 
     milliseconds grant_wait() const { return with_clock_margin(terms_.grant_term); }
 
     void adopt(const task_record& record, boot_time silent_runs_end);
-    tracked_task* find_tracked(const task_key& key);
+    /// Task whose current run this is; nothing when it is no current run of a task.
     tracked_task* find_run(const vm_name& vm, const task_run& run);
     /// Must follow every change of the record.
     void record_changed(tracked_task& task);
-    void update_indexes(tracked_task& task);
     void end_run(tracked_task& task, const run_end& end);
-    static bool is_stale(const vm_contact& contact, const vm_observation& observation);
-    void note_contact(vm_contact& contact, const vm_observation& observation);
+
+    /// Whether the observation is older than one taken before; otherwise remembers it.
+    bool is_stale(const vm_observation& observation);
     void take_report(tracked_task& task, const run_report& report);
     void take_unfinished(tracked_task& task, const run_report& report);
+    void take_absences(const vm_observation& observation,
+                       const std::set<const tracked_task*>& listed);
     void take_absence(tracked_task& task, const vm_observation& observation);
     void take_absence_same_agent(tracked_task& task);
     void answer_report(const vm_name& vm, const run_report& report, observation_answer& answer);
     bool may_acknowledge(const vm_name& vm, const task_run& run) const;
 
-    bool is_committed(const task_key& key) const;
     void expire(tracked_task& task);
-    void repeat_command(tracked_task& task);
-    void drop_old_final_tasks();
+    void repeat_command(const tracked_task& task);
+    void date_finished_tasks();
+    void drop_old_finished_tasks(std::int64_t wall_now_ms);
     std::optional<ledger_command> command_for(tracked_task& task);
+    bool agent_takes_start(const task_record& record) const;
 
-    shard_number shard_;
-    epoch_number epoch_;
-    entry_id owner_;
     lease_terms terms_;
     ledger_limits limits_;
     boot_time now_;
@@ -249,23 +211,9 @@
     boot_time silence_counts_from_;
     /// Nothing before the first submission or tick.
     std::optional<std::int64_t> wall_now_ms_;
-
-    std::map<task_key, tracked_task> tasks_;
-    std::map<task_key, task_record> committed_;
-    std::uint64_t next_order_{0};
-    std::size_t bytes_{0};
-    task_index by_order_;
-    task_index queued_;
-    task_index active_;
-    /// Final tasks without the parked ones, by time of their end and order.
-    std::map<std::pair<std::int64_t, std::uint64_t>, tracked_task*> final_;
-    /// Final tasks whose end has no wall-clock time yet.
-    task_index undated_;
-    std::map<vm_name, vm_contact> vms_;
-
-    std::set<task_key> dirty_;
-    std::optional<commit_in_flight> in_flight_;
-    std::uint64_t last_commit_number_{0};
+    task_table tasks_;
+    group_commit commits_;
+    std::map<vm_name, vm_contact> contacts_;
     /// Tasks whose command may be due.
     std::set<task_key> due_;
     std::set<task_key> committed_keys_;
--- a/packages/core/source/task/shard_ledger.cpp
+++ b/packages/core/source/task/shard_ledger.cpp
@@ -3,25 +3,12 @@
 #include <egretstile/core/task/shard_ledger.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace egretstile {
 
 namespace {
 
-/// Encoded size of the numbers and length fields of a task record, rounded up.
-constexpr std::size_t fixed_record_bytes = 200;
-
-std::size_t estimated_bytes(const task_record& record) {
-    return fixed_record_bytes + record.spec.key.size() + record.spec.team.size() +
-           record.spec.payload.size() + record.vm.size() + record.worker_boot.size() +
-           record.checkpoint.size() + record.outcome.size();
-}
-
-/// An operator may still resume or cancel a parked task, so it is kept.
-bool has_finished(task_state state) {
-    return is_final(state) && state != task_state::parked;
-}
-
 bool needs_answer(task_state state) {
     return state == task_state::starting || state == task_state::evicting ||
            state == task_state::cancelling;
@@ -29,27 +16,21 @@
 
 } // namespace
 
-shard_ledger::shard_ledger(shard_record record, boot_time silent_runs_end, const lease_terms& terms,
-                           const ledger_limits& limits, boot_time now)
-    : shard_(record.shard)
-    , epoch_(record.epoch)
-    , owner_(std::move(record.owner))
-    , terms_(terms)
+shard_ledger::shard_ledger(const shard_record& record, boot_time silent_runs_end,
+                           const lease_terms& terms, const ledger_limits& limits, boot_time now)
+    : terms_(terms)
     , limits_(limits)
     , now_(now)
     , last_tick_(now)
-    , silence_counts_from_(silent_runs_end) {
+    , silence_counts_from_(silent_runs_end)
+    , commits_(record) {
     for (const task_record& task : record.tasks) {
         adopt(task, silent_runs_end);
-        committed_.emplace(task.spec.key, task);
     }
-    dirty_.clear();
 }
 
 void shard_ledger::adopt(const task_record& record, boot_time silent_runs_end) {
-    tracked_task& task = tasks_[record.spec.key];
-    task.record = record;
-    task.order = next_order_++;
+    tracked_task& task = tasks_.add(record);
     task.start_sent = may_be_running(record.state);
     task.granted_until = silent_runs_end;
     // Also the end of an earlier attempt may not be acknowledged yet.
@@ -57,36 +38,31 @@
     if (record.state == task_state::detached) {
         task.silent_since = now_;
     }
-    by_order_.emplace(task.order, &task);
-    record_changed(task);
+    tasks_.update(task, wall_now_ms_);
 }
 
 submit_result shard_ledger::submit(const task_spec& spec, std::int64_t wall_now_ms) {
     wall_now_ms_ = wall_now_ms;
-    const std::map<task_key, tracked_task>::const_iterator known = tasks_.find(spec.key);
-    if (known != tasks_.end()) {
-        if (!(known->second.record.spec == spec)) {
+    const tracked_task* const known = tasks_.find(spec.key);
+    if (known != nullptr) {
+        if (!(known->record.spec == spec)) {
             return submit_result::conflict;
         }
-        return committed_.contains(spec.key) ? submit_result::known : submit_result::pending;
+        return find_committed(spec.key) == nullptr ? submit_result::pending : submit_result::known;
     }
     task_record record;
     record.spec = spec;
     record.accepted_at_ms = wall_now_ms;
     if (tasks_.size() >= limits_.max_tasks ||
-        bytes_ + estimated_bytes(record) > limits_.max_bytes) {
+        tasks_.bytes() + task_table::estimated_bytes(record) > limits_.max_bytes) {
         return submit_result::full;
     }
-    tracked_task& task = tasks_[spec.key];
-    task.record = std::move(record);
-    task.order = next_order_++;
-    by_order_.emplace(task.order, &task);
-    record_changed(task);
+    record_changed(tasks_.add(record));
     return submit_result::pending;
 }
 
 bool shard_ledger::cancel(const task_key& key) {
-    tracked_task* const task = find_tracked(key);
+    tracked_task* const task = tasks_.find(key);
     if (task == nullptr) {
         return false;
     }
@@ -106,19 +82,18 @@
 }
 
 const task_record* shard_ledger::find_committed(const task_key& key) const {
-    const std::map<task_key, task_record>::const_iterator found = committed_.find(key);
-    return found == committed_.end() ? nullptr : &found->second;
+    return commits_.find(key);
 }
 
 const task_record* shard_ledger::find(const task_key& key) const {
-    const std::map<task_key, tracked_task>::const_iterator found = tasks_.find(key);
-    return found == tasks_.end() ? nullptr : &found->second.record;
+    const tracked_task* const task = tasks_.find(key);
+    return task == nullptr ? nullptr : &task->record;
 }
 
 std::vector<const task_record*> shard_ledger::queued() const {
     std::vector<const task_record*> records;
-    records.reserve(queued_.size());
-    for (const task_index::value_type& row : queued_) {
+    records.reserve(tasks_.queued().size());
+    for (const task_index::value_type& row : tasks_.queued()) {
         records.push_back(&row.second->record);
     }
     return records;
@@ -127,7 +102,7 @@
 void shard_ledger::assign(const task_key& key, const vm_name& vm, incarnation_number incarnation,
                           const std::string& worker_boot, boot_time now) {
     now_ = std::max(now_, now);
-    tracked_task* const task = find_tracked(key);
+    tracked_task* const task = tasks_.find(key);
     if (task == nullptr || task->record.state != task_state::queued) {
         return;
     }
@@ -146,7 +121,7 @@
 }
 
 void shard_ledger::evict(const task_key& key) {
-    tracked_task* const task = find_tracked(key);
+    tracked_task* const task = tasks_.find(key);
     if (task == nullptr || task->record.state != task_state::running) {
         return;
     }
@@ -156,7 +131,7 @@
 }
 
 void shard_ledger::park(const task_key& key, const std::string& reason) {
-    tracked_task* const task = find_tracked(key);
+    tracked_task* const task = tasks_.find(key);
     if (task == nullptr || task->record.state != task_state::queued) {
         return;
     }
@@ -166,7 +141,7 @@
 }
 
 void shard_ledger::unpark(const task_key& key) {
-    tracked_task* const task = find_tracked(key);
+    tracked_task* const task = tasks_.find(key);
     if (task == nullptr || task->record.state != task_state::parked) {
         return;
     }
@@ -178,11 +153,7 @@
 observation_answer shard_ledger::observe(const vm_observation& observation, boot_time now) {
     now_ = std::max(now_, now);
     observation_answer answer;
-    vm_contact& contact = vms_[observation.vm];
-    const bool stale = is_stale(contact, observation);
-    if (!stale) {
-        note_contact(contact, observation);
-    }
+    const bool stale = is_stale(observation);
     if (!observation.worker_known) {
         return answer;
     }
@@ -195,16 +166,8 @@
         }
         answer_report(observation.vm, report, answer);
     }
-    if (stale) {
-        return answer;
-    }
-    // A task may leave the index while it is handled.
-    for (task_index::iterator row = contact.tasks.begin(); row != contact.tasks.end();) {
-        tracked_task& task = *row->second;
-        ++row;
-        if (!listed.contains(&task)) {
-            take_absence(task, observation);
-        }
+    if (!stale) {
+        take_absences(observation, listed);
     }
     return answer;
 }
@@ -225,84 +188,31 @@
         silence_counts_from_ = std::max(silence_counts_from_, now_ + grant_wait());
     }
     last_tick_ = now_;
-    const task_index undated = std::move(undated_);
-    undated_.clear();
-    for (const task_index::value_type& row : undated) {
-        record_changed(*row.second);
-    }
     // A task may leave the index while it is handled.
-    for (task_index::iterator row = active_.begin(); row != active_.end();) {
+    for (task_index::const_iterator row = tasks_.active().begin(); row != tasks_.active().end();) {
         tracked_task& task = *row->second;
         ++row;
         expire(task);
         repeat_command(task);
     }
-    drop_old_final_tasks();
+    date_finished_tasks();
+    drop_old_finished_tasks(wall_now_ms);
 }
 
 std::optional<ledger_commit> shard_ledger::take_commit() {
-    if (in_flight_) {
-        return std::nullopt;
-    }
-    std::erase_if(dirty_, [this](const task_key& key) { return is_committed(key); });
-    if (dirty_.empty()) {
-        return std::nullopt;
-    }
-    in_flight_.emplace();
-    in_flight_->number = ++last_commit_number_;
-    for (const task_key& key : dirty_) {
-        const task_record* const record = find(key);
-        in_flight_->changes.emplace(key, record == nullptr ? std::nullopt
-                                                           : std::optional<task_record>(*record));
-    }
-    dirty_.clear();
-    ledger_commit commit;
-    commit.number = in_flight_->number;
-    commit.record.shard = shard_;
-    commit.record.epoch = epoch_;
-    commit.record.owner = owner_;
-    commit.record.tasks.reserve(by_order_.size());
-    for (const task_index::value_type& row : by_order_) {
-        commit.record.tasks.push_back(row.second->record);
-    }
-    return commit;
-}
-
-bool shard_ledger::is_committed(const task_key& key) const {
-    const task_record* const working = find(key);
-    const task_record* const committed = find_committed(key);
-    if (working == nullptr || committed == nullptr) {
-        return working == committed;
-    }
-    return *working == *committed;
+    return commits_.take(tasks_);
 }
 
 void shard_ledger::commit_confirmed(std::uint64_t number, boot_time now) {
     now_ = std::max(now_, now);
-    if (!in_flight_ || in_flight_->number != number) {
-        return;
-    }
-    for (std::map<task_key, std::optional<task_record>>::value_type& change : in_flight_->changes) {
-        committed_keys_.insert(change.first);
-        due_.insert(change.first);
-        if (change.second) {
-            committed_[change.first] = std::move(*change.second);
-        } else {
-            committed_.erase(change.first);
-        }
+    for (const task_key& key : commits_.confirm(number)) {
+        committed_keys_.insert(key);
+        due_.insert(key);
     }
-    in_flight_.reset();
 }
 
 void shard_ledger::commit_failed(std::uint64_t number) {
-    if (!in_flight_ || in_flight_->number != number) {
-        return;
-    }
-    for (const std::map<task_key, std::optional<task_record>>::value_type& change :
-         in_flight_->changes) {
-        dirty_.insert(change.first);
-    }
-    in_flight_.reset();
+    commits_.fail(number);
 }
 
 std::vector<ledger_command> shard_ledger::take_commands() {
@@ -310,7 +220,7 @@
     const std::set<task_key> due = std::move(due_);
     due_.clear();
     for (const task_key& key : due) {
-        tracked_task* const task = find_tracked(key);
+        tracked_task* const task = tasks_.find(key);
         if (task == nullptr) {
             continue;
         }
@@ -329,54 +239,16 @@
     return keys;
 }
 
-shard_ledger::tracked_task* shard_ledger::find_tracked(const task_key& key) {
-    const std::map<task_key, tracked_task>::iterator found = tasks_.find(key);
-    return found == tasks_.end() ? nullptr : &found->second;
-}
-
-shard_ledger::tracked_task* shard_ledger::find_run(const vm_name& vm, const task_run& run) {
-    tracked_task* const task = find_tracked(run.key);
+tracked_task* shard_ledger::find_run(const vm_name& vm, const task_run& run) {
+    tracked_task* const task = tasks_.find(run.key);
     const bool current = task != nullptr && may_be_running(task->record.state) &&
                          task->record.attempt == run.attempt && task->record.vm == vm;
     return current ? task : nullptr;
 }
 
 void shard_ledger::record_changed(tracked_task& task) {
-    task_record& record = task.record;
-    if (!has_finished(record.state)) {
-        record.finished_at_ms = 0;
-    } else if (record.finished_at_ms == 0) {
-        record.finished_at_ms = wall_now_ms_.value_or(0);
-    }
-    const std::size_t bytes = estimated_bytes(record);
-    bytes_ += bytes - task.bytes;
-    task.bytes = bytes;
-    update_indexes(task);
-    dirty_.insert(record.spec.key);
-}
-
-void shard_ledger::update_indexes(tracked_task& task) {
-    const task_record& record = task.record;
-    queued_.erase(task.order);
-    active_.erase(task.order);
-    undated_.erase(task.order);
-    if (record.state == task_state::queued) {
-        queued_.emplace(task.order, &task);
-    }
-    if (may_be_running(record.state)) {
-        active_.emplace(task.order, &task);
-        vms_[record.vm].tasks.emplace(task.order, &task);
-    } else if (!record.vm.empty()) {
-        vms_[record.vm].tasks.erase(task.order);
-    }
-    if (!has_finished(record.state)) {
-        return;
-    }
-    if (record.finished_at_ms == 0) {
-        undated_.emplace(task.order, &task);
-    } else {
-        final_.emplace(std::pair(record.finished_at_ms, task.order), &task);
-    }
+    tasks_.update(task, wall_now_ms_);
+    commits_.mark_changed(task.record.spec.key);
 }
 
 void shard_ledger::end_run(tracked_task& task, const run_end& end) {
@@ -384,16 +256,16 @@
     record_changed(task);
 }
 
-bool shard_ledger::is_stale(const vm_contact& contact, const vm_observation& observation) {
-    return std::pair(observation.incarnation, observation.sequence) <
-           std::pair(contact.incarnation, contact.sequence);
-}
-
-void shard_ledger::note_contact(vm_contact& contact, const vm_observation& observation) {
-    contact.incarnation = observation.incarnation;
-    contact.sequence = observation.sequence;
-    contact.known = observation.worker_known;
-    contact.worker_boot = observation.worker_boot;
+bool shard_ledger::is_stale(const vm_observation& observation) {
+    const vm_contact latest{observation.worker_known, observation.incarnation, observation.sequence,
+                            observation.worker_boot};
+    vm_contact& known = contacts_.emplace(observation.vm, latest).first->second;
+    if (std::pair(latest.incarnation, latest.sequence) <
+        std::pair(known.incarnation, known.sequence)) {
+        return true;
+    }
+    known = latest;
+    return false;
 }
 
 void shard_ledger::take_report(tracked_task& task, const run_report& report) {
@@ -433,6 +305,19 @@
     }
 }
 
+void shard_ledger::take_absences(const vm_observation& observation,
+                                 const std::set<const tracked_task*>& listed) {
+    const task_index& on_vm = tasks_.active_on(observation.vm);
+    // A task may leave the index while it is handled.
+    for (task_index::const_iterator row = on_vm.begin(); row != on_vm.end();) {
+        tracked_task& task = *row->second;
+        ++row;
+        if (!listed.contains(&task)) {
+            take_absence(task, observation);
+        }
+    }
+}
+
 void shard_ledger::take_absence(tracked_task& task, const vm_observation& observation) {
     const task_record& record = task.record;
     if (observation.incarnation < record.incarnation) {
@@ -494,8 +379,8 @@
 }
 
 bool shard_ledger::may_acknowledge(const vm_name& vm, const task_run& run) const {
-    const std::map<task_key, tracked_task>::const_iterator task = tasks_.find(run.key);
-    if (task != tasks_.end() && now_ <= task->second.start_valid_until) {
+    const tracked_task* const task = tasks_.find(run.key);
+    if (task != nullptr && now_ <= task->start_valid_until) {
         // An acknowledged run is forgotten, so the agent would admit a late start of it.
         return false;
     }
@@ -522,7 +407,7 @@
     }
 }
 
-void shard_ledger::repeat_command(tracked_task& task) {
+void shard_ledger::repeat_command(const tracked_task& task) {
     const bool waits = needs_answer(task.record.state) &&
                        !(task.record.state == task_state::starting && task.answered);
     if (waits && (!task.command_sent_at || now_ - *task.command_sent_at >= limits_.resend_after)) {
@@ -530,20 +415,24 @@
     }
 }
 
-void shard_ledger::drop_old_final_tasks() {
-    while (!final_.empty()) {
-        tracked_task& task = *final_.begin()->second;
-        const task_key key = task.record.spec.key;
-        const task_record* const committed = find_committed(key);
-        if (task.record.finished_at_ms + limits_.final_retention.count() > *wall_now_ms_ ||
-            committed == nullptr || !has_finished(committed->state)) {
+void shard_ledger::date_finished_tasks() {
+    const task_index undated = tasks_.undated();
+    for (const task_index::value_type& row : undated) {
+        record_changed(*row.second);
+    }
+}
+
+void shard_ledger::drop_old_finished_tasks(std::int64_t wall_now_ms) {
+    const std::int64_t kept_from = wall_now_ms - limits_.final_retention.count();
+    for (tracked_task* task = tasks_.oldest_finished();
+         task != nullptr && task->record.finished_at_ms <= kept_from;
+         task = tasks_.oldest_finished()) {
+        const task_record* const committed = find_committed(task->record.spec.key);
+        if (committed == nullptr || !has_finished(committed->state)) {
             return;
         }
-        final_.erase(final_.begin());
-        by_order_.erase(task.order);
-        bytes_ -= task.bytes;
-        dirty_.insert(key);
-        tasks_.erase(key);
+        commits_.mark_changed(task->record.spec.key);
+        tasks_.erase(*task);
     }
 }
 
@@ -558,9 +447,7 @@
         return stop_command{
             record.vm, {record.spec.key, record.attempt}, record.state == task_state::evicting};
     }
-    const vm_contact& contact = vms_[record.vm];
-    if (record.state != task_state::starting || task.answered || !contact.known ||
-        contact.incarnation != record.incarnation || contact.worker_boot != record.worker_boot) {
+    if (record.state != task_state::starting || task.answered || !agent_takes_start(record)) {
         return std::nullopt;
     }
     task.start_sent = true;
@@ -570,4 +457,11 @@
                          record.checkpoint};
 }
 
+bool shard_ledger::agent_takes_start(const task_record& record) const {
+    const std::map<vm_name, vm_contact>::const_iterator contact = contacts_.find(record.vm);
+    return contact != contacts_.end() && contact->second.worker_known &&
+           contact->second.incarnation == record.incarnation &&
+           contact->second.worker_boot == record.worker_boot;
+}
+
 } // namespace egretstile
--- a/packages/core/tests/task/ledger_driver.hpp
+++ b/packages/core/tests/task/ledger_driver.hpp
@@ -19,10 +19,10 @@
 /// time. Not thread-safe.
 class ledger_driver {
 public:
-    explicit ledger_driver(shard_record record = {4, 2, "entry-a", {}},
+    explicit ledger_driver(const shard_record& record = {4, 2, "entry-a", {}},
                            const ledger_limits& limits = {},
                            boot_time silent_runs_end = boot_time{})
-        : ledger(std::move(record), silent_runs_end, terms, limits, now) {}
+        : ledger(record, silent_runs_end, terms, limits, now) {}
 
     static constexpr lease_terms terms{};
     static constexpr std::int64_t wall_offset_ms = 1'700'000'000'000;
