plan: edit, merge sheets, diff and list due occurrences

First, the names of removed rows: without them a sheet exported before another sheet's removal would add the row again, and an accepted configuration would revert. The newest 1,000 are kept; an older sheet can still change rows but not add any. Second, added_at_ms of each row: a once row is due when it was added, and no row is due before. Otherwise a once row would run again after the ledger has forgotten its first run. The stored record changes, so record_version is 2.

--- a/packages/core/include/egretstile/core/plan/plan.hpp
+++ b/packages/core/include/egretstile/core/plan/plan.hpp
@@ -60,6 +60,9 @@
     std::string time_zone;
     milliseconds run_time{0};
     std::string payload;
+    /// Wall-clock time in milliseconds since 1970 at which the row was added. A `once` row is due
+    /// then; no occurrence before it is due.
+    std::int64_t added_at_ms{0};
     /// Plan version of the last change of this row; see `plan::version`.
     std::uint64_t changed_in{0};
 
@@ -83,6 +86,25 @@
     friend bool operator==(const drained_vm&, const drained_vm&) = default;
 };
 
+/// Parts of the plan whose rows have names of their own.
+enum class plan_table : std::uint8_t { row, team, domain, drained };
+
+inline constexpr std::array<enum_name<plan_table>, 4> plan_table_names{
+    {{plan_table::row, "row"},
+     {plan_table::team, "team"},
+     {plan_table::domain, "domain"},
+     {plan_table::drained, "drained"}}};
+
+/// A row or team that a sheet removed. Without it, a sheet that was exported before the removal
+/// and still holds the row would add it again.
+struct removed_row {
+    plan_table table{plan_table::row};
+    std::string name;
+    std::uint64_t changed_in{0};
+
+    friend bool operator==(const removed_row&, const removed_row&) = default;
+};
+
 /// The operators' whole configuration, stored as one value.
 struct plan {
     /// Counts the accepted changes; each accepted change raises it by one.
@@ -94,6 +116,10 @@
     std::vector<plan_row> rows;
     std::vector<team_plan> teams;
     std::vector<drained_vm> drained;
+    /// The newest removals, oldest first; see `max_removed_rows`.
+    std::vector<removed_row> removed;
+    /// Highest version whose removals are no longer all in `removed`.
+    std::uint64_t removals_dropped_to{0};
 
     friend bool operator==(const plan&, const plan&) = default;
 };
--- /dev/null
+++ b/packages/core/include/egretstile/core/plan/plan_diff.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <egretstile/core/base/name_table.hpp>
+#include <egretstile/core/plan/plan.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretstile {
+
+enum class difference_kind : std::uint8_t { added, removed, changed };
+
+inline constexpr std::array<enum_name<difference_kind>, 3> difference_kind_names{
+    {{difference_kind::added, "added"},
+     {difference_kind::removed, "removed"},
+     {difference_kind::changed, "changed"}}};
+
+/// Field of a changed row, as operators read it.
+struct field_difference {
+    std::string field;
+    std::string before;
+    std::string after;
+
+    friend bool operator==(const field_difference&, const field_difference&) = default;
+};
+
+struct plan_difference {
+    plan_table table{plan_table::row};
+    difference_kind kind{difference_kind::changed};
+    std::string name;
+    /// Filled for changed rows only.
+    std::vector<field_difference> fields;
+
+    friend bool operator==(const plan_difference&, const plan_difference&) = default;
+};
+
+/// What changes from `before` to `after`, by table; in each, added and changed rows by
+/// name, then removed rows by name. The fields that the plan keeps
+/// about its own history do not count. Thread-safe.
+std::vector<plan_difference> plan_diff(const plan& before, const plan& after);
+
+} // namespace egretstile
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -65,7 +65,7 @@
 void serialize(Archive& archive, plan_row& value) {
     archive(value.name, value.type, value.team, value.need, value.kind, value.priority,
             value.idempotent, value.repeats, value.day_of_month, value.minute_of_day,
-            value.time_zone, value.run_time, value.payload, value.changed_in);
+            value.time_zone, value.run_time, value.payload, value.added_at_ms, value.changed_in);
 }
 
 template <typename Archive>
@@ -78,10 +78,15 @@
     archive(value.name, value.changed_in);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, removed_row& value) {
+    archive(value.table, value.name, value.changed_in);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, plan& value) {
     archive(value.version, value.change_id, value.changed_by, value.domains, value.rows,
-            value.teams, value.drained);
+            value.teams, value.drained, value.removed, value.removals_dropped_to);
 }
 
 } // namespace egretstile
--- a/packages/wire/include/egretstile/wire/record/record_codec.hpp
+++ b/packages/wire/include/egretstile/wire/record/record_codec.hpp
@@ -13,7 +13,7 @@
 /// any bytes and give nothing for those that are not a record of this version. Thread-safe.
 namespace egretstile::wire {
 
-constexpr std::uint8_t record_version = 1;
+constexpr std::uint8_t record_version = 2;
 
 std::string encode_record(const shard_record& record);
 std::optional<shard_record> decode_shard_record(std::string_view bytes);
