--- a/packages/core/source/task/shard_ledger.cpp
+++ b/packages/core/source/task/shard_ledger.cpp
@@ -160,7 +160,10 @@
     std::set<const tracked_task*> listed;
     for (const run_report& report : observation.runs) {
         tracked_task* const task = find_run(observation.vm, report.run);
-        if (task != nullptr && !stale) {
+        // A refusal on a later worker boot does not say what happened on the boot before.
+        const bool counts = report.phase != run_phase::refused || task == nullptr ||
+                            observation.worker_boot == task->record.worker_boot;
+        if (task != nullptr && !stale && counts) {
             listed.insert(task);
             take_report(*task, report);
         }
@@ -175,7 +178,12 @@
 void shard_ledger::start_answered(const vm_name& vm, const run_report& report, boot_time now) {
     now_ = std::max(now_, now);
     tracked_task* const task = find_run(vm, report.run);
-    if (task != nullptr) {
+    if (task == nullptr) {
+        return;
+    }
+    // An earlier copy of the start may have run on a worker boot that the agent has dropped. The
+    // next heartbeat lists the refusal with the boot.
+    if (report.phase != run_phase::refused || task->record.spec.idempotent) {
         take_report(*task, report);
     }
 }
--- /dev/null
+++ b/packages/core/tests/task/model/model_agent.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "task/model/execution_history.hpp"
+#include "task/model/model_network.hpp"
+
+#include <egretstile/core/base/terms.hpp>
+#include <egretstile/core/task/shard_ledger.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretstile::testing {
+
+struct model_heartbeat {
+    vm_observation observation;
+    std::size_t owner{0};
+};
+
+struct model_reply {
+    std::size_t owner{0};
+    incarnation_number incarnation{0};
+    std::uint64_t sequence{0};
+    epoch_number epoch{0};
+    observation_answer answer;
+};
+
+struct model_start {
+    std::size_t owner{0};
+    epoch_number epoch{0};
+    start_command command;
+    std::uint64_t sequence{0};
+};
+
+struct model_stop {
+    epoch_number epoch{0};
+    stop_command command;
+};
+
+/// A VM: its worker, and its agent with the rules of design section 5 decision 3.
+class model_agent {
+public:
+    /// `clock_per_mille`: speed of the VM's clock.
+    model_agent(model_network& network, execution_history& history, const lease_terms& terms,
+                vm_name name, int clock_per_mille);
+
+    model_process process;
+
+    const vm_name& name() const { return name_; }
+
+    /// Heartbeat to one owner; its replies name its sequence number.
+    model_heartbeat make_heartbeat(std::size_t owner);
+
+    void receive_reply(const model_reply& reply);
+    /// The answer, or nothing when the start names another incarnation.
+    std::optional<run_report> receive_start(const model_start& start);
+    void receive_stop(const model_stop& stop);
+
+    /// Suspends, resumes and ends runs as time passes.
+    void step(model_time elapsed);
+
+    void restart_agent();
+    void restart_worker();
+
+    /// Whether the VM executes a run of the task now, other than attempt `except`.
+    bool executes(const task_key& key, attempt_number except) const;
+
+    /// Set by the model: whether another run of the task executes now, on this VM or elsewhere.
+    std::function<bool(const vm_name&, const task_run&)> executes_elsewhere;
+
+private:
+    struct worker_task {
+        run_report report;
+        bool idempotent{false};
+        model_time work_left{0};
+        /// In the time of this VM.
+        model_time lease_until{0};
+    };
+
+    struct sent_heartbeat {
+        model_time sent_at{0};
+        std::vector<task_run> listed;
+    };
+
+    model_time local_now() const { return network_.now() * clock_per_mille_ / 1000; }
+
+    void expire_lease(worker_task& task);
+    void end(worker_task& task, run_phase phase);
+    void execute(worker_task& task, model_time elapsed);
+    void grant(worker_task& task, model_time until);
+    run_report refuse(const task_run& run);
+    run_report start_on_worker(const model_start& start, model_time lease_until);
+
+    model_network& network_;
+    execution_history& history_;
+    lease_terms terms_;
+    vm_name name_;
+    int clock_per_mille_;
+
+    std::uint64_t boot_{1};
+    std::map<task_run, worker_task> worker_;
+    std::uint64_t next_checkpoint_{1};
+
+    incarnation_number incarnation_{1};
+    model_time worker_known_at_{0};
+    epoch_number highest_epoch_{0};
+    std::set<task_run> refused_;
+    std::uint64_t sequence_{0};
+    std::map<std::pair<std::size_t, std::uint64_t>, sent_heartbeat> sent_;
+};
+
+} // namespace egretstile::testing
--- /dev/null
+++ b/packages/core/tests/task/model/shard_model.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "task/model/execution_history.hpp"
+#include "task/model/model_agent.hpp"
+#include "task/model/model_network.hpp"
+#include "task/model/model_owner.hpp"
+#include "task/model/model_register.hpp"
+
+#include <array>
+#include <iosfwd>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretstile::testing {
+
+enum class fault_kind : std::uint8_t {
+    pause_owner,
+    restart_owner,
+    release_shard,
+    pause_agent,
+    restart_agent,
+    restart_worker,
+    register_down,
+    lossy_network,
+    cancel_task,
+    evict_task
+};
+
+inline constexpr std::array<enum_name<fault_kind>, 10> fault_kind_names{
+    {{fault_kind::pause_owner, "pause_owner"},
+     {fault_kind::restart_owner, "restart_owner"},
+     {fault_kind::release_shard, "release_shard"},
+     {fault_kind::pause_agent, "pause_agent"},
+     {fault_kind::restart_agent, "restart_agent"},
+     {fault_kind::restart_worker, "restart_worker"},
+     {fault_kind::register_down, "register_down"},
+     {fault_kind::lossy_network, "lossy_network"},
+     {fault_kind::cancel_task, "cancel_task"},
+     {fault_kind::evict_task, "evict_task"}}};
+
+struct fault {
+    fault_kind kind{fault_kind::pause_owner};
+    model_time at{0};
+    std::size_t target{0};
+    model_time duration{0};
+};
+
+std::ostream& operator<<(std::ostream& out, const fault& value);
+
+/// One shard with its owners, agents, register and clients. A run has two parts: faults happen in
+/// the first; the second is quiet, and every accepted task must reach a final state in it.
+class shard_model {
+public:
+    shard_model(std::uint64_t seed, const std::vector<fault>& faults);
+
+    /// First violation of a guarantee; empty when there is none.
+    std::string run();
+
+    /// Length of the first part.
+    static constexpr model_time fault_time = 30'000;
+
+private:
+    static constexpr std::size_t owner_count = 3;
+    static constexpr std::size_t agent_count = 3;
+    static constexpr std::size_t task_count = 6;
+    static constexpr model_time quiet_time = 120'000;
+
+    void connect(model_owner& owner);
+    void schedule(const fault& value);
+    void apply(const fault& value);
+    void start_heartbeats(model_agent& agent);
+    void heartbeat(model_agent& agent);
+    void step_agents();
+    void submit_tasks();
+    void start_quiet_part();
+    bool all_final() const;
+    bool executes_elsewhere(const vm_name& vm, const task_run& run) const;
+    model_agent& agent_of(const vm_name& vm);
+    static task_key key_of(std::size_t index);
+
+    model_network network_;
+    execution_history history_;
+    lease_terms terms_;
+    model_register store_;
+    std::vector<std::unique_ptr<model_owner>> owners_;
+    std::vector<std::unique_ptr<model_agent>> agents_;
+};
+
+} // namespace egretstile::testing
--- a/packages/core/tests/task/shard_ledger_runs_test.cpp
+++ b/packages/core/tests/task/shard_ledger_runs_test.cpp
@@ -69,7 +69,7 @@
 
 TEST_CASE("a refused start is queued again, and its late answer does not end the next attempt") {
     ledger_driver driver;
-    driver.make_starting("a", false);
+    driver.make_starting("a", true);
     driver.commands();
     driver.ledger.start_answered("vm-1", report(run_phase::refused), driver.now);
     CHECK(driver.state("a") == task_state::queued);
@@ -80,6 +80,31 @@
     CHECK(driver.ledger.find("a")->attempt == 2);
 }
 
+TEST_CASE("a refused start of a non-idempotent task is queued again once a heartbeat lists it") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    driver.ledger.start_answered("vm-1", report(run_phase::refused), driver.now);
+    CHECK(driver.state("a") == task_state::starting);
+    driver.heartbeat("vm-1", {report(run_phase::refused)});
+    CHECK(driver.state("a") == task_state::queued);
+}
+
+TEST_CASE("a repeated start that a new worker boot refuses does not repeat a run of the old boot") {
+    ledger_driver driver;
+    driver.make_starting("a", false);
+    driver.commands();
+    // The first copy ran and its answer was lost; then the worker restarted.
+    driver.ledger.start_answered("vm-1", report(run_phase::refused), driver.now);
+    driver.heartbeat("vm-1", 1, "boot-2", {report(run_phase::refused)});
+    CHECK(driver.state("a") == task_state::starting);
+    while (driver.state("a") == task_state::starting) {
+        driver.pass(terms.heartbeat_interval);
+        driver.heartbeat("vm-1", 1, "boot-2", {report(run_phase::refused)});
+    }
+    CHECK(driver.state("a") == task_state::interrupted);
+}
+
 TEST_CASE("a refusal does not end a run that executed") {
     ledger_driver driver;
     driver.make_running("a", false);
