load: add load tool for requests and tasks

Latency and outcomes must be measured from the caller's side. Requests go out in an open loop and latency counts from when a call was due, so that a stalled system cannot hide its stalls by holding back later calls. Each body begins with an own id; the VM stand-in logs it as label, so that a request told not-run can be looked up at the upstreams whatever id the entry gives it. Time, count and threads have hard limits.

--- a/testing/harness/vm_checks.cpp
+++ b/testing/harness/vm_checks.cpp
@@ -147,6 +147,16 @@
     return counts;
 }
 
+std::map<std::string, std::size_t> requests_by_label(const std::vector<vm_event>& events) {
+    std::map<std::string, std::size_t> counts;
+    for (const vm_event& event : events) {
+        if (event.kind == vm_event_kind::request_start) {
+            ++counts[event.request_label];
+        }
+    }
+    return counts;
+}
+
 std::size_t count_of(const std::vector<vm_event>& events, vm_event_kind kind) {
     return static_cast<std::size_t>(
         std::count_if(events.begin(), events.end(),
--- a/testing/harness/vm_checks.hpp
+++ b/testing/harness/vm_checks.hpp
@@ -37,6 +37,9 @@
 /// Number of times that each request began at an upstream.
 std::map<std::string, std::size_t> requests_by_id(const std::vector<vm_event>& events);
 
+/// The same by the first word of the request's body.
+std::map<std::string, std::size_t> requests_by_label(const std::vector<vm_event>& events);
+
 std::size_t count_of(const std::vector<vm_event>& events, vm_event_kind kind);
 
 } // namespace egretstile::harness
--- a/testing/harness/vm_event.cpp
+++ b/testing/harness/vm_event.cpp
@@ -36,6 +36,7 @@
     event.reason = object->optValue<std::string>("reason", "");
     event.checkpoint = object->optValue<std::string>("checkpoint", "");
     event.request_id = object->optValue<std::string>("id", "");
+    event.request_label = object->optValue<std::string>("label", "");
     event.amounts = amounts_at(*object, event.kind == vm_event_kind::boot ? "capacity" : "need");
     return event;
 }
--- a/testing/harness/vm_event.hpp
+++ b/testing/harness/vm_event.hpp
@@ -56,6 +56,8 @@
     resources amounts;
     std::string checkpoint;
     std::string request_id;
+    /// First word of the request's body; the load tool writes its own id there.
+    std::string request_label;
 };
 
 /// Events of all logs in order of time. A last line without line end is left out: it may be
--- /dev/null
+++ b/testing/load/load_settings.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretstile::load {
+
+struct request_settings {
+    std::string service{"lookup"};
+    /// Requests a second, sent at even distances whether answers arrive or not.
+    double rate{0};
+    /// Connections, each with a thread; must exceed rate times latency, else requests are late.
+    std::uint32_t threads{16};
+    bool idempotent{true};
+    std::chrono::milliseconds deadline{2000};
+    /// Least size of a body; each body begins with the request's id.
+    std::uint32_t body_bytes{64};
+};
+
+struct task_settings {
+    double rate{0};
+    std::uint32_t threads{4};
+    std::string kind{"reconciliation"};
+    std::string priority{"normal"};
+    std::string team{"load"};
+    bool idempotent{false};
+    std::int64_t cpu_millicores{1000};
+    std::int64_t memory_mb{256};
+    std::int64_t work_ms{100};
+    /// After the submissions the states of all tasks are read until each is final or this time has
+    /// passed; zero: not read.
+    std::chrono::seconds follow{0};
+};
+
+/// What one run of the tool does.
+struct load_settings {
+    std::string host{"127.0.0.1"};
+    /// Callers' ports of the entries; used in turn.
+    std::vector<std::uint16_t> ports;
+    /// Prefix of request ids and task keys; must differ between runs against one deployment.
+    std::string prefix{"load"};
+    /// Both limits hold: sending ends at the first one.
+    std::chrono::seconds duration{10};
+    std::uint64_t max_count{100000};
+    request_settings requests;
+    task_settings tasks;
+};
+
+/// Hard limits of the tool, so that a mistyped option cannot load the machine without end.
+inline constexpr std::chrono::seconds longest_duration{600};
+inline constexpr std::uint64_t largest_count = 2000000;
+inline constexpr std::uint32_t most_threads = 256;
+
+/// Lowers the settings to the hard limits.
+void apply_limits(load_settings& settings);
+
+} // namespace egretstile::load
--- a/testing/standins/vm/upstream_service.cpp
+++ b/testing/standins/vm/upstream_service.cpp
@@ -4,15 +4,20 @@
 
 #include <egretstile/platform/clock/boot_now.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace egretstile::standins {
 
 namespace {
 
+constexpr std::size_t max_label_bytes = 64;
+
 Poco::JSON::Object request_fields(const service_call& call) {
     Poco::JSON::Object fields;
     fields.set("id", call.header("request-id"));
+    // The caller's own id, by which tests find the request whatever id the system gives it.
+    fields.set("label", call.body.substr(0, std::min(call.body.find(' '), max_label_bytes)));
     return fields;
 }
 
--- a/testing/standins/vm/upstream_service.hpp
+++ b/testing/standins/vm/upstream_service.hpp
@@ -24,7 +24,8 @@
 
 /// `POST /v1/serve`: answers with `serve_answer` of the body after the service time, slowed by the
 /// VM's runs. Above its slots or connections it answers 503 and logs `overload`. Logs
-/// `request_start` and `request_end` with the header `Request-Id`. Thread-safe.
+/// `request_start` and `request_end` with the header `Request-Id` and, as `label`, the first word
+/// of the body. Thread-safe.
 class upstream_service {
 public:
     /// The references must outlive the service.
