--- /dev/null
+++ b/testing/standins/tests/proxy_standin_test.cpp
@@ -0,0 +1,254 @@
+#include "http_call.hpp"
+#include "launched_program.hpp"
+#include "scratch_directory.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <chrono>
+#include <string>
+
+namespace egretstile::harness {
+namespace {
+
+using Poco::Net::StreamSocket;
+using std::chrono::milliseconds;
+
+constexpr milliseconds timeout{5000};
+constexpr Poco::Timespan::TimeDiff quiet_us = 150000;
+
+/// A proxy with one link whose target is this test.
+class link_fixture {
+public:
+    link_fixture()
+        : proxy_({program_path("egretstile-standin-proxy"),
+                  {"--ports-file", scratch_.file("ports")},
+                  scratch_.file("ports"),
+                  scratch_.file("output")})
+        , listener_(Poco::Net::SocketAddress("127.0.0.1", 0)) {
+        const std::string target =
+            "links?name=link&port=" + std::to_string(listener_.address().port());
+        const http_reply reply = admin(target);
+        Poco::JSON::Parser parser;
+        port_ = parser.parse(reply.body)
+                    .extract<Poco::JSON::Object::Ptr>()
+                    ->getValue<std::uint16_t>("port");
+    }
+
+    http_reply admin(const std::string& call) {
+        return http_call(proxy_.port("admin"), {"POST", "/admin/" + call, "", {}, timeout}).value();
+    }
+
+    void rule(const std::string& query) {
+        REQUIRE(admin("links/link/rule?" + query).status == 200);
+    }
+
+    StreamSocket connect() const {
+        StreamSocket client(Poco::Net::SocketAddress("127.0.0.1", port_));
+        client.setNoDelay(true);
+        client.setReceiveTimeout(Poco::Timespan(std::chrono::microseconds(timeout).count()));
+        return client;
+    }
+
+    StreamSocket accept() {
+        StreamSocket server = listener_.acceptConnection();
+        server.setReceiveTimeout(Poco::Timespan(std::chrono::microseconds(timeout).count()));
+        return server;
+    }
+
+    bool has_connection() {
+        return listener_.poll(Poco::Timespan(quiet_us), Poco::Net::Socket::SELECT_READ);
+    }
+
+private:
+    scratch_directory scratch_;
+    launched_program proxy_;
+    Poco::Net::ServerSocket listener_;
+    std::uint16_t port_{0};
+};
+
+void send(StreamSocket& socket, const std::string& text) {
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+}
+
+/// Bytes until `size` have arrived or the peer has closed.
+std::string receive(StreamSocket& socket, std::size_t size) {
+    std::string text;
+    while (text.size() < size) {
+        std::array<char, 4096> buffer{};
+        const int received = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        if (received <= 0) {
+            break;
+        }
+        text.append(buffer.data(), static_cast<std::size_t>(received));
+    }
+    return text;
+}
+
+bool quiet(StreamSocket& socket) {
+    return !socket.poll(Poco::Timespan(quiet_us), Poco::Net::Socket::SELECT_READ);
+}
+
+bool closed(StreamSocket& socket) {
+    try {
+        return receive(socket, 1).empty();
+    } catch (const Poco::TimeoutException&) {
+        return false;
+    } catch (const Poco::Exception&) {
+        return true;
+    }
+}
+
+// Guards against a proxy that changes bytes without a rule.
+TEST_CASE("without a rule bytes pass unchanged both ways, and a half-close passes") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    const std::string large(300000, 'x');
+    send(client, "to target");
+    CHECK(receive(server, 9) == "to target");
+    send(server, large);
+    CHECK(receive(client, large.size()) == large);
+    client.shutdownSend();
+    CHECK(closed(server));
+    send(server, "last");
+    CHECK(receive(client, 4) == "last");
+}
+
+// Guards against a delay that is not there or that reorders.
+TEST_CASE("delayed chunks arrive late and in order") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    link.rule("delay_ms=200&direction=to_target");
+    const auto begin = std::chrono::steady_clock::now();
+    send(client, "one");
+    CHECK(receive(server, 3) == "one");
+    CHECK(std::chrono::steady_clock::now() - begin >= milliseconds(200));
+    send(client, "two");
+    link.rule("mode=none");
+    send(client, "three");
+    CHECK(receive(server, 8) == "twothree");
+}
+
+// Guards against a cut that peers notice by a reset, as no partition shows itself, and against
+// streams that go on with bytes missing.
+TEST_CASE("a cut stalls connections silently; one that lost bytes is reset when it ends") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    StreamSocket untouched_client = link.connect();
+    StreamSocket untouched_server = link.accept();
+    send(client, "x");
+    CHECK(receive(server, 1) == "x");
+    link.rule("mode=cut");
+    send(client, "lost");
+    CHECK(quiet(server));
+    CHECK(quiet(client));
+    StreamSocket later = link.connect();
+    CHECK_FALSE(link.has_connection());
+    link.rule("mode=none");
+    CHECK(closed(client));
+    CHECK(closed(server));
+    CHECK(link.has_connection());
+    StreamSocket later_server = link.accept();
+    send(later, "late");
+    CHECK(receive(later_server, 4) == "late");
+    send(untouched_client, "good");
+    CHECK(receive(untouched_server, 4) == "good");
+}
+
+// Guards against a cut that cannot tell the directions apart.
+TEST_CASE("a cut one way lets the other way pass") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    link.rule("mode=cut&direction=to_client");
+    send(client, "request");
+    CHECK(receive(server, 7) == "request");
+    send(server, "answer");
+    CHECK(quiet(client));
+}
+
+// Guards against a cut that hides or passes on a close of the peer.
+TEST_CASE("a close during a cut is not seen by the other side") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    link.rule("mode=cut");
+    client.close();
+    CHECK(quiet(server));
+    link.rule("mode=none");
+    CHECK(closed(server));
+}
+
+// Guards against a truncation that forwards the whole message or leaves the connection open.
+TEST_CASE("truncate forwards so many bytes and closes") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    link.rule("mode=truncate&bytes=5&direction=to_client");
+    send(server, "truncated");
+    CHECK(receive(client, 9) == "trunc");
+    CHECK(closed(client));
+    CHECK(closed(server));
+}
+
+// Guards against faults that do not happen, or that go on after the chunk they were meant for.
+TEST_CASE("duplicate, reorder and drop act on the next chunk only") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    link.rule("mode=duplicate&direction=to_target");
+    send(client, "ab");
+    CHECK(receive(server, 4) == "abab");
+    send(client, "c");
+    CHECK(receive(server, 1) == "c");
+    CHECK(quiet(server));
+    link.rule("mode=reorder&direction=to_target");
+    send(client, "1234");
+    CHECK(receive(server, 4) == "3412");
+    link.rule("mode=drop&direction=to_target");
+    send(client, "last");
+    CHECK(receive(server, 5) == "last");
+    CHECK(closed(client));
+}
+
+// Guards against a reordering that loses or keeps the order of chunks.
+TEST_CASE("reorder exchanges two chunks that follow each other") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    link.rule("mode=reorder&direction=to_target");
+    send(client, "first");
+    send(client, "second");
+    const std::string received = receive(server, 11);
+    // Both may arrive as one chunk; then its halves change places.
+    CHECK(received != "firstsecond");
+    CHECK(received.size() == 11);
+}
+
+// Guards against connections that survive a reset or go to the former target.
+TEST_CASE("reset closes the link's connections, and a new target takes new ones") {
+    link_fixture link;
+    StreamSocket client = link.connect();
+    StreamSocket server = link.accept();
+    CHECK(link.admin("links/link/reset").status == 200);
+    CHECK(closed(client));
+    CHECK(closed(server));
+    Poco::Net::ServerSocket other(Poco::Net::SocketAddress("127.0.0.1", 0));
+    const std::string port = std::to_string(other.address().port());
+    CHECK(link.admin("links/link/target?port=" + port).status == 200);
+    StreamSocket moved = link.connect();
+    StreamSocket accepted = other.acceptConnection();
+    send(moved, "hello");
+    CHECK(receive(accepted, 5) == "hello");
+}
+
+} // namespace
+} // namespace egretstile::harness
