cli: add the operators' and callers' command line

Exit codes tell scripts whether a change was made: 0 done, 1 refused, 2 usage, 3 not reachable, 4 unknown. A lost response to a change is 4 and to a read is 3; an error status of the server to a change without an outcome is 4, because the change may have begun. A success whose report cannot be read is 4 as well.

A sheet is checked before it is sent.

--- /dev/null
+++ b/packages/cli/source/command/run.cpp
@@ -0,0 +1,263 @@
+#include "command/run.hpp"
+
+#include "command/answer_printer.hpp"
+#include "command/invocation.hpp"
+#include "command/trace_tree.hpp"
+
+#include <egretstile/sheet/report/sheet_report.hpp>
+#include <egretstile/sheet/sheet/sheet_reader.hpp>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/URI.h>
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <sstream>
+#include <variant>
+
+namespace egretstile::cli {
+
+namespace {
+
+struct streams {
+    std::ostream& output;
+    std::ostream& errors;
+};
+
+std::string escaped(const std::string& path_segment) {
+    std::string result;
+    Poco::URI::encode(path_segment, "/?#&=+;:@!$'()*,[]", result);
+    return result;
+}
+
+std::string submit_body(const task_spec& task) {
+    Poco::JSON::Object object;
+    object.set("key", task.key);
+    object.set("kind", std::string(name_of(task_kind_names, task.kind)));
+    object.set("priority", std::string(name_of(task_priority_names, task.priority)));
+    object.set("team", task.team);
+    object.set("cpu_millicores", task.need.cpu_millicores);
+    object.set("memory_mb", task.need.memory_mb);
+    object.set("accelerators", task.need.accelerators);
+    object.set("idempotent", task.idempotent);
+    object.set("declared_run_time_ms", static_cast<Poco::Int64>(task.declared_run_time.count()));
+    object.set("payload", task.payload);
+    std::ostringstream body;
+    object.stringify(body);
+    return body.str();
+}
+
+/// Method, path and body of a command that is one call with a generic response.
+http_request request_of(const invocation& call) {
+    http_request request;
+    request.server = call.server;
+    request.token = call.token;
+    const std::string operand = escaped(call.operand);
+    switch (call.command) {
+    case command_id::domain_out:
+        request.method = "POST";
+        request.path = "/v1/domains/" + operand + "/out";
+        break;
+    case command_id::domain_in:
+        request.method = "POST";
+        request.path = "/v1/domains/" + operand + "/in";
+        break;
+    case command_id::submit:
+        request.method = "POST";
+        request.path = "/v1/tasks";
+        request.content_type = "application/json";
+        request.body = submit_body(call.task);
+        break;
+    case command_id::cancel:
+        request.method = "DELETE";
+        request.path = "/v1/tasks/" + operand;
+        break;
+    case command_id::task:
+        request.path = "/v1/tasks/" + operand;
+        break;
+    case command_id::explain:
+        request.path = "/v1/tasks/" + operand + "/explain";
+        break;
+    case command_id::upstream_drain:
+        request.method = "POST";
+        request.path = "/v1/upstreams/" + operand + "/drain";
+        break;
+    case command_id::upstream_undrain:
+        request.method = "POST";
+        request.path = "/v1/upstreams/" + operand + "/undrain";
+        break;
+    default:
+        request.path = "/v1/status";
+        break;
+    }
+    return request;
+}
+
+exit_code report_failure(const http_failure& failure, bool is_read, std::ostream& errors) {
+    if (failure.kind == http_failure_kind::not_sent) {
+        errors << "No connection: " << failure.reason << ". Nothing was changed.\n";
+        return exit_code::not_reachable;
+    }
+    if (is_read) {
+        errors << "No response: " << failure.reason << ".\n";
+        return exit_code::not_reachable;
+    }
+    errors << "No response: " << failure.reason
+           << ". The outcome is unknown; repeating the command is safe.\n";
+    return exit_code::unknown;
+}
+
+exit_code run_call(const invocation& call, http_client& client, const streams& out) {
+    const http_request request = request_of(call);
+    const bool is_read = request.method == "GET";
+    const std::variant<http_response, http_failure> result = client.send(request);
+    if (const http_failure* const failure = std::get_if<http_failure>(&result)) {
+        return report_failure(*failure, is_read, out.errors);
+    }
+    const http_response& response = std::get<http_response>(result);
+    const exit_code code = code_of(response, is_read);
+    out.output << (call.output == output_format::json ? response.body + "\n"
+                                                      : describe_json(response.body));
+    if (code == exit_code::refused) {
+        out.errors << "Refused with HTTP status " << response.status << ".\n";
+    } else if (code == exit_code::unknown) {
+        out.errors << "The outcome is unknown; repeating the command is safe.\n";
+    }
+    return code;
+}
+
+std::optional<std::string> read_file(const std::string& path, std::ostream& errors) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        errors << "File " << path << " cannot be read.\n";
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+void print_report(const sheet_report& report, const invocation& call, std::ostream& output) {
+    output << (call.output == output_format::json ? to_json(report) + "\n" : describe(report));
+}
+
+exit_code code_of_report(const sheet_report& report) {
+    switch (report.outcome) {
+    case sheet_outcome::accepted:
+    case sheet_outcome::unchanged:
+        return exit_code::done;
+    case sheet_outcome::refused:
+        return exit_code::refused;
+    case sheet_outcome::unknown:
+        break;
+    }
+    return exit_code::unknown;
+}
+
+/// Whether the sheet has no faults; prints them otherwise.
+bool check_sheet(const std::string& text, const invocation& call, const streams& out) {
+    const std::variant<sheet_document, std::vector<sheet_error>> result = read_sheet(text);
+    const std::vector<sheet_error>* const faults = std::get_if<std::vector<sheet_error>>(&result);
+    if (faults == nullptr) {
+        return true;
+    }
+    if (call.output == output_format::json) {
+        sheet_report report;
+        report.outcome = sheet_outcome::refused;
+        report.errors = *faults;
+        out.output << to_json(report) << "\n";
+    } else {
+        for (const sheet_error& fault : *faults) {
+            out.output << to_string(fault) << "\n";
+        }
+    }
+    out.errors << "The sheet has " << faults->size() << " faults; nothing was sent.\n";
+    return false;
+}
+
+/// `is_dry_run`: the entry answers what would change.
+exit_code send_sheet(const std::string& text, bool is_dry_run, const invocation& call,
+                     http_client& client, const streams& out) {
+    http_request request;
+    request.server = call.server;
+    request.token = call.token;
+    request.method = "POST";
+    request.path = std::string("/v1/sheet?confirm_removals=") +
+                   (call.confirm_removals ? "1" : "0") + (is_dry_run ? "&dry_run=1" : "");
+    request.content_type = "text/csv";
+    request.body = text;
+    const std::variant<http_response, http_failure> result = client.send(request);
+    if (const http_failure* const failure = std::get_if<http_failure>(&result)) {
+        return report_failure(*failure, is_dry_run, out.errors);
+    }
+    const http_response& response = std::get<http_response>(result);
+    const std::optional<sheet_report> report = parse_sheet_report(response.body);
+    if (!report) {
+        out.errors << "HTTP status " << response.status << " without a report: " << response.body
+                   << "\n";
+        const exit_code code = code_of(response, is_dry_run);
+        // A success that cannot be read is no proof of the change.
+        return code == exit_code::done ? exit_code::unknown : code;
+    }
+    print_report(*report, call, out.output);
+    return code_of_report(*report);
+}
+
+exit_code run_sheet(const invocation& call, http_client& client, const streams& out) {
+    const std::optional<std::string> text = read_file(call.operand, out.errors);
+    if (!text) {
+        return exit_code::usage;
+    }
+    if (!check_sheet(*text, call, out)) {
+        return exit_code::refused;
+    }
+    if (call.command == command_id::sheet_check) {
+        out.output << (call.output == output_format::json ? "{\"errors\":[]}\n" : "no faults\n");
+        return exit_code::done;
+    }
+    return send_sheet(*text, call.command == command_id::sheet_diff, call, client, out);
+}
+
+exit_code run_trace(const invocation& call, const streams& out) {
+    std::ifstream file(call.operand);
+    if (!file) {
+        out.errors << "File " << call.operand << " cannot be read.\n";
+        return exit_code::usage;
+    }
+    const trace_tree tree = read_trace(file);
+    out.output << tree.text;
+    if (tree.skipped_lines != 0) {
+        out.errors << "Skipped " << tree.skipped_lines << " lines that are not OTLP/JSON.\n";
+    }
+    return tree.spans == 0 ? exit_code::refused : exit_code::done;
+}
+
+exit_code run_command(const invocation& call, http_client& client, const streams& out) {
+    switch (call.command) {
+    case command_id::sheet_check:
+    case command_id::sheet_diff:
+    case command_id::sheet_apply:
+        return run_sheet(call, client, out);
+    case command_id::trace:
+        return run_trace(call, out);
+    default:
+        return run_call(call, client, out);
+    }
+}
+
+} // namespace
+
+exit_code run(const std::vector<std::string>& arguments, http_client& client, std::ostream& output,
+              std::ostream& errors) {
+    const std::variant<invocation, usage_error, help_request> parsed = parse_arguments(arguments);
+    if (const usage_error* const error = std::get_if<usage_error>(&parsed)) {
+        errors << error->message << "\n";
+        return exit_code::usage;
+    }
+    if (const help_request* const help = std::get_if<help_request>(&parsed)) {
+        output << help->text;
+        return exit_code::done;
+    }
+    return run_command(std::get<invocation>(parsed), client, {output, errors});
+}
+
+} // namespace egretstile::cli
--- a/packages/cli/source/main.cpp
+++ b/packages/cli/source/main.cpp
@@ -1,5 +1,25 @@
-#include <cstdlib>
+#include "command/poco_http_client.hpp"
+#include "command/run.hpp"
 
-int main() {
-    return EXIT_SUCCESS;
+#include <chrono>
+#include <cstddef>
+#include <exception>
+#include <iostream>
+#include <iterator>
+#include <span>
+#include <string>
+#include <vector>
+
+int main(int count, char** values) {
+    // Longer than a sheet's commit during a slow period of the key-value service.
+    constexpr std::chrono::seconds timeout(10);
+    try {
+        egretstile::cli::poco_http_client client(timeout);
+        const std::span<char*> all(values, static_cast<std::size_t>(count));
+        const std::vector<std::string> arguments(std::next(all.begin()), all.end());
+        return static_cast<int>(egretstile::cli::run(arguments, client, std::cout, std::cerr));
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return static_cast<int>(egretstile::cli::exit_code::unknown);
+    }
 }
--- /dev/null
+++ b/packages/cli/tests/command/invocation_test.cpp
@@ -0,0 +1,92 @@
+#include "command/invocation.hpp"
+
+#include <Poco/TemporaryFile.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace egretstile::cli {
+namespace {
+
+using parse_result = std::variant<invocation, usage_error, help_request>;
+
+TEST_CASE("a wrong command line is an error and never another command") {
+    const std::vector<std::vector<std::string>> wrong{
+        {},
+        {"domain"},
+        {"domain", "out"},
+        {"domain", "off", "a"},
+        {"--callers", "127.0.0.1:1", "cancel"},
+        {"--callers", "127.0.0.1:1", "cancel", ""},
+        {"--callers", "127.0.0.1:1", "cancel", "a", "b"},
+        {"--callers", "127.0.0.1:1", "cancel", "a", "--confirm-removals"},
+        {"--callers", "127.0.0.1", "cancel", "a"},
+        {"--callers", "127.0.0.1:0", "cancel", "a"},
+        {"--callers", "127.0.0.1:65536", "cancel", "a"},
+        {"--callers", "127.0.0.1:1", "--callers", "127.0.0.1:2", "cancel", "a"},
+        {"--callers", "127.0.0.1:1", "submit", "a", "--kind", "batch"},
+        {"--callers", "127.0.0.1:1", "submit", "a", "--memory-mb", "-1"},
+        {"--callers", "127.0.0.1:1", "submit", "a", "--memory-mb", "4GB"},
+        {"--output", "xml", "trace", "f"},
+        {"--unknown", "trace", "f"},
+        {"cancel", "a"},
+        {"--entry", "127.0.0.1:1", "status"},
+        {"--entry", "127.0.0.1:1", "--token-file", "/nonexistent", "status"}};
+    for (const std::vector<std::string>& arguments : wrong) {
+        CAPTURE(arguments);
+        CHECK(std::holds_alternative<usage_error>(parse_arguments(arguments)));
+    }
+}
+
+TEST_CASE("an abbreviated option is refused, because confirming removals must be deliberate") {
+    const Poco::TemporaryFile token;
+    std::ofstream(token.path()) << "t";
+    const std::vector<std::string> start{
+        "--entry", "127.0.0.1:1", "--token-file", token.path(), "sheet", "apply", "f"};
+    std::vector<std::string> abbreviated = start;
+    abbreviated.emplace_back("--confirm");
+    CHECK(std::holds_alternative<usage_error>(parse_arguments(abbreviated)));
+    std::vector<std::string> whole = start;
+    whole.emplace_back("--confirm-removals");
+    const parse_result result = parse_arguments(whole);
+    REQUIRE(std::holds_alternative<invocation>(result));
+    CHECK(std::get<invocation>(result).confirm_removals);
+    CHECK(std::get<invocation>(result).token == "t");
+}
+
+TEST_CASE("options may stand before and after the command") {
+    const parse_result result =
+        parse_arguments({"submit", "k", "--callers", "[::1]:80", "--team", "domain"});
+    REQUIRE(std::holds_alternative<invocation>(result));
+    CHECK(std::get<invocation>(result).operand == "k");
+    CHECK(std::get<invocation>(result).task.team == "domain");
+    CHECK(std::get<invocation>(result).server.host == "::1");
+    CHECK(std::get<invocation>(result).server.port == 80);
+}
+
+TEST_CASE("every command has help with an example that is a valid command line") {
+    for (const command_info& command : all_commands()) {
+        CAPTURE(command.name);
+        std::vector<std::string> arguments;
+        const std::string name(command.name);
+        const std::size_t blank = name.find(' ');
+        arguments.push_back(name.substr(0, blank));
+        if (blank != std::string::npos) {
+            arguments.push_back(name.substr(blank + 1));
+        }
+        arguments.emplace_back("--help");
+        const parse_result help = parse_arguments(arguments);
+        REQUIRE(std::holds_alternative<help_request>(help));
+        CHECK(std::get<help_request>(help).text.find(command.example) != std::string::npos);
+        CHECK(command.example.find(command.name) != std::string_view::npos);
+    }
+    const parse_result general = parse_arguments({"--help"});
+    REQUIRE(std::holds_alternative<help_request>(general));
+    CHECK(std::get<help_request>(general).text.find("Exit codes") != std::string::npos);
+}
+
+} // namespace
+} // namespace egretstile::cli
