--- a/packages/cli/source/command/invocation.cpp
+++ b/packages/cli/source/command/invocation.cpp
@@ -136,9 +136,9 @@
         throw argument_error{"--token-file " + path + " cannot be read"};
     }
     std::string token;
-    file >> token;
-    if (token.empty()) {
-        throw argument_error{"--token-file " + path + " is empty"};
+    std::string rest;
+    if (!(file >> token) || file >> rest) {
+        throw argument_error{"--token-file " + path + " must hold one word"};
     }
     return token;
 }
--- a/packages/cli/tests/command/invocation_test.cpp
+++ b/packages/cli/tests/command/invocation_test.cpp
@@ -57,6 +57,17 @@
     CHECK(std::get<invocation>(result).token == "t");
 }
 
+TEST_CASE("a token file with several words is refused and its contents are not printed") {
+    const Poco::TemporaryFile token;
+    for (const std::string contents : {"", "first second"}) {
+        std::ofstream(token.path(), std::ios::trunc) << contents;
+        const parse_result result =
+            parse_arguments({"--entry", "127.0.0.1:1", "--token-file", token.path(), "status"});
+        REQUIRE(std::holds_alternative<usage_error>(result));
+        CHECK(std::get<usage_error>(result).message.find("first") == std::string::npos);
+    }
+}
+
 TEST_CASE("options may stand before and after the command") {
     const parse_result result =
         parse_arguments({"submit", "k", "--callers", "[::1]:80", "--team", "domain"});
--- a/packages/daemon/source/telemetry/log.cpp
+++ b/packages/daemon/source/telemetry/log.cpp
@@ -101,12 +101,12 @@
 void write_log(log_part part, log_level level, const std::string& sentence,
                const std::string& fields) {
     configure_once(log_level::info);
-    const std::string text = on_one_line(fields.empty() ? sentence : sentence + " " + fields);
     el::Logger* const logger =
         el::Loggers::getLogger(std::string(name_of(log_part_names, part)), false);
-    if (logger == nullptr) {
+    if (logger == nullptr || !logger->enabled(to_library_level(level))) {
         return;
     }
+    const std::string text = on_one_line(fields.empty() ? sentence : sentence + " " + fields);
     switch (level) {
     case log_level::debug:
         logger->debug(text);
