--- a/packages/core/tests/plan/plan_edit_test.cpp
+++ b/packages/core/tests/plan/plan_edit_test.cpp
@@ -184,6 +184,30 @@
     CHECK(merged(second, exported, based_on(2)).rows.size() == 10);
 }
 
+TEST_CASE("the last of several removals of a row decides") {
+    const sheet with_b = rows_named({"a", "b"});
+    const sheet without_b = rows_named({"a"});
+    merge_options options;
+    options.removals_confirmed = true;
+    plan current = merged(plan{}, with_b, options);
+    for (const sheet* next : {&without_b, &with_b, &without_b}) {
+        options.based_on_version = current.version;
+        current = merged(current, *next, options);
+    }
+    CHECK(current.version == 4);
+    CHECK(refused(current, with_b, based_on(3)).conflicts.at(0).changed_in == 4);
+}
+
+TEST_CASE("the removal of a team does not stand in the way of a row with the same name") {
+    sheet rows = rows_named({"a"});
+    rows.teams.push_back(team_named("survey", 2));
+    const plan current = merged(plan{}, rows, {});
+    merge_options options = based_on(1);
+    options.removals_confirmed = true;
+    const plan without = merged(current, rows_named({"a"}), options);
+    CHECK(merged(without, rows_named({"a", "survey"}), based_on(1)).rows.size() == 2);
+}
+
 TEST_CASE("a truncated sheet is refused unless the removals are confirmed") {
     const plan current = ten_rows();
     sheet truncated;
