daemon: add the entry and agent processes

Cause: the core decisions had no process around them, so no request or task went from a caller to an upstream and back. Excluded: a thread for each connection between our processes. One event loop owns all state of a process; calls that block (key-value service, worker, upstream) run on small pools and post their results, so the state needs no locks. A write whose answer was lost is repeated with the same bytes until its fate is known, because a later record could otherwise meet the late first write.

--- a/packages/core/include/egretstile/core/task/group_commit.hpp
+++ b/packages/core/include/egretstile/core/task/group_commit.hpp
@@ -34,6 +34,9 @@
     /// Snapshot of `tasks`; nothing when no task differs or a write is in flight.
     std::optional<ledger_commit> take(const task_table& tasks);
 
+    /// The record with `tasks` as they are.
+    shard_record snapshot(const task_table& tasks) const;
+
     /// Keys of the tasks that the write changed; none unless it is in flight.
     std::vector<task_key> confirm(std::uint64_t number);
 
--- a/packages/core/include/egretstile/core/task/shard_ledger.hpp
+++ b/packages/core/include/egretstile/core/task/shard_ledger.hpp
@@ -143,7 +143,8 @@
     /// Takes the answer to one start (running, refused or starting), like a partial observation.
     /// Call only with an answer of the incarnation that the start named: a later one may refuse a
     /// start whose run it has not read from its worker yet. The refusal of a non-idempotent task
-    /// counts only when an observation of the worker boot that the start was committed for lists it.
+    /// counts only when an observation of the worker boot that the start was committed for lists
+    /// it.
     void start_answered(const vm_name& vm, const run_report& report, boot_time now);
 
     /// Ends what has certainly run out, drops old final tasks, repeats commands that got no answer.
@@ -152,6 +153,9 @@
     /// means such a time, and nothing runs out until one grant term after it.
     void tick(boot_time now, std::int64_t wall_now_ms);
 
+    /// The record with all changes so far.
+    shard_record snapshot() const;
+
     /// Snapshot with all changes so far; nothing when there is no change or a commit is in flight.
     std::optional<ledger_commit> take_commit();
     /// Ignored unless this commit is in flight.
--- a/packages/core/source/task/group_commit.cpp
+++ b/packages/core/source/task/group_commit.cpp
@@ -27,16 +27,19 @@
         return std::nullopt;
     }
     start_write(tasks);
-    ledger_commit commit;
-    commit.number = last_number_;
-    commit.record.shard = shard_;
-    commit.record.epoch = epoch_;
-    commit.record.owner = owner_;
-    commit.record.tasks.reserve(tasks.size());
+    return ledger_commit{last_number_, snapshot(tasks)};
+}
+
+shard_record group_commit::snapshot(const task_table& tasks) const {
+    shard_record record;
+    record.shard = shard_;
+    record.epoch = epoch_;
+    record.owner = owner_;
+    record.tasks.reserve(tasks.size());
     for (const task_index::value_type& row : tasks.all()) {
-        commit.record.tasks.push_back(row.second->record);
+        record.tasks.push_back(row.second->record);
     }
-    return commit;
+    return record;
 }
 
 std::vector<task_key> group_commit::confirm(std::uint64_t number) {
--- a/packages/core/source/task/shard_ledger.cpp
+++ b/packages/core/source/task/shard_ledger.cpp
@@ -207,6 +207,10 @@
     drop_old_finished_tasks(wall_now_ms);
 }
 
+shard_record shard_ledger::snapshot() const {
+    return commits_.snapshot(tasks_);
+}
+
 std::optional<ledger_commit> shard_ledger::take_commit() {
     return commits_.take(tasks_);
 }
--- /dev/null
+++ b/packages/daemon/source/agent/upstream_client.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "net/blocking_pool.hpp"
+#include "net/event_loop.hpp"
+#include "settings/entry_settings.hpp"
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/wire/message/messages.hpp>
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace egretstile::daemon {
+
+/// A request for the upstream.
+struct upstream_call {
+    endpoint address;
+    std::string request_id;
+    std::string body;
+    std::string traceparent;
+    boot_time deadline;
+};
+
+/// `not_run` only when nothing was sent; a late or incomplete answer is `unknown`.
+struct upstream_answer {
+    wire::serve_outcome outcome{wire::serve_outcome::unknown};
+    std::uint32_t http_status{0};
+    std::string body;
+};
+
+/// Calls the upstream over persistent HTTP connections, each call on a thread of its own.
+class upstream_client {
+public:
+    using answer_callback = std::function<void(upstream_answer)>;
+
+    /// `threads` is at least the number of calls in progress that the caller allows.
+    upstream_client(event_loop& loop, std::size_t threads);
+
+    /// `done` runs on the loop's thread, exactly once. For the event loop's thread only.
+    void call(upstream_call request, answer_callback done);
+
+private:
+    using session_pointer = std::unique_ptr<Poco::Net::HTTPClientSession>;
+
+    upstream_answer call_blocking(const upstream_call& request);
+    session_pointer take_session(const endpoint& address);
+    void keep_session(const endpoint& address, session_pointer session);
+
+    event_loop& loop_;
+    std::mutex mutex_;
+    std::map<std::string, std::vector<session_pointer>> idle_;
+    blocking_pool threads_;
+};
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/agent/worker_caller.cpp
@@ -0,0 +1,149 @@
+#include "agent/worker_caller.hpp"
+
+#include "telemetry/log.hpp"
+
+#include <egretstile/platform/clock/boot_now.hpp>
+
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+call_result to_result(platform::worker_error error) {
+    switch (error) {
+    case platform::worker_error::unavailable:
+    case platform::worker_error::refused:
+        return call_result::refused;
+    case platform::worker_error::no_answer:
+        return call_result::unknown;
+    }
+    return call_result::unknown;
+}
+
+template <typename Result>
+call_result result_of(const platform::worker_result<Result>& result) {
+    const platform::worker_error* const error = std::get_if<platform::worker_error>(&result);
+    return error == nullptr ? call_result::done : to_result(*error);
+}
+
+platform::worker_result<std::string>
+without_text(const platform::worker_result<std::monostate>& result) {
+    if (const platform::worker_error* const error = std::get_if<platform::worker_error>(&result)) {
+        return *error;
+    }
+    return std::string();
+}
+
+} // namespace
+
+worker_caller::worker_caller(event_loop& loop, platform::worker& target,
+                             incarnation_number incarnation, admission_controller& admission,
+                             std::function<void(const task_run&, call_result)> on_started)
+    : loop_(loop)
+    , worker_(target)
+    , incarnation_(incarnation)
+    , admission_(admission)
+    , on_started_(std::move(on_started)) {}
+
+void worker_caller::poll_status() {
+    if (status_in_flight_) {
+        return;
+    }
+    status_in_flight_ = true;
+    status_calls_.submit([this] {
+        const boot_time sent_at = boot_now();
+        platform::worker_result<worker_status> result = worker_.status(incarnation_);
+        loop_.post([this, sent_at, result = std::move(result)] {
+            status_in_flight_ = false;
+            const worker_status* const status = std::get_if<worker_status>(&result);
+            const bool was_reachable = std::exchange(reachable_, status != nullptr);
+            if (was_reachable != reachable_) {
+                write_log(log_part::worker, log_level::info,
+                          reachable_ ? "The worker answers." : "The worker does not answer.");
+            }
+            if (status != nullptr) {
+                status_ = *status;
+                admission_.worker_observed(status_, sent_at, boot_now());
+            }
+        });
+    });
+}
+
+void worker_caller::start(const worker_start& call) {
+    ++starts_in_flight_;
+    calls_.submit([this, call] {
+        const call_result result = result_of(worker_.start(incarnation_, call));
+        loop_.post([this, run = call.run, result] {
+            --starts_in_flight_;
+            admission_.start_finished(run, result, boot_now());
+            on_started_(run, result);
+        });
+    });
+}
+
+void worker_caller::make_due_calls(boot_time now) {
+    std::vector<worker_action> renewals;
+    for (const worker_action& action : admission_.due_actions(now)) {
+        if (action.kind == worker_action_kind::renew) {
+            renewals.push_back(action);
+        } else {
+            act(action);
+        }
+    }
+    if (!renewals.empty()) {
+        renew(renewals);
+    }
+}
+
+void worker_caller::renew(const std::vector<worker_action>& actions) {
+    std::vector<worker_renewal> renewals;
+    renewals.reserve(actions.size());
+    for (const worker_action& action : actions) {
+        renewals.push_back({action.run, action.lease_until});
+    }
+    renewals_.submit([this, actions, renewals = std::move(renewals)] {
+        const call_result result = result_of(worker_.renew(incarnation_, renewals));
+        loop_.post([this, actions, result] {
+            for (const worker_action& action : actions) {
+                finish(action, result, "");
+            }
+        });
+    });
+}
+
+void worker_caller::act(const worker_action& action) {
+    calls_.submit([this, action] {
+        const platform::worker_result<std::string> result = act_blocking(action);
+        const std::string* const checkpoint = std::get_if<std::string>(&result);
+        loop_.post([this, action, outcome = result_of(result),
+                    text = checkpoint == nullptr ? std::string() : *checkpoint] {
+            finish(action, outcome, text);
+        });
+    });
+}
+
+platform::worker_result<std::string> worker_caller::act_blocking(const worker_action& action) {
+    switch (action.kind) {
+    case worker_action_kind::suspend:
+        return worker_.suspend(incarnation_, action.run);
+    case worker_action_kind::resume:
+        return without_text(worker_.resume(incarnation_, action.run, action.lease_until));
+    case worker_action_kind::stop:
+        return worker_.stop(incarnation_, action.run, false);
+    case worker_action_kind::checkpoint_stop:
+        return worker_.stop(incarnation_, action.run, true);
+    case worker_action_kind::forget:
+        return without_text(worker_.forget(incarnation_, action.run));
+    case worker_action_kind::renew:
+        return without_text(worker_.renew(incarnation_, {{action.run, action.lease_until}}));
+    }
+    return platform::worker_error::refused;
+}
+
+void worker_caller::finish(const worker_action& action, call_result result,
+                           const std::string& checkpoint) {
+    admission_.action_finished(action, result, checkpoint, boot_now());
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/agent/worker_caller.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "net/blocking_pool.hpp"
+#include "net/event_loop.hpp"
+
+#include <egretstile/core/admission/admission_controller.hpp>
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/platform/worker/worker.hpp>
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace egretstile::daemon {
+
+/// Makes the worker calls that admission asks for and gives it the results. For the event loop's
+/// thread only. Renewals have a thread of their own, so that a slow start does not let leases run
+/// out.
+class worker_caller {
+public:
+    /// `on_started` follows each finished start call.
+    worker_caller(event_loop& loop, platform::worker& target, incarnation_number incarnation,
+                  admission_controller& admission,
+                  std::function<void(const task_run&, call_result)> on_started);
+
+    /// Reads the worker's status unless a read is in progress.
+    void poll_status();
+    void start(const worker_start& call);
+    /// Makes all calls that are due.
+    void make_due_calls(boot_time now);
+
+    /// Last status; empty before the first.
+    const worker_status& last_status() const { return status_; }
+
+    bool reachable() const { return reachable_; }
+
+    std::size_t starts_in_flight() const { return starts_in_flight_; }
+
+private:
+    void renew(const std::vector<worker_action>& actions);
+    void act(const worker_action& action);
+    platform::worker_result<std::string> act_blocking(const worker_action& action);
+    void finish(const worker_action& action, call_result result, const std::string& checkpoint);
+
+    event_loop& loop_;
+    platform::worker& worker_;
+    incarnation_number incarnation_;
+    admission_controller& admission_;
+    std::function<void(const task_run&, call_result)> on_started_;
+    worker_status status_;
+    bool reachable_{false};
+    bool status_in_flight_{false};
+    std::size_t starts_in_flight_{0};
+    blocking_pool renewals_{1};
+    blocking_pool status_calls_{1};
+    blocking_pool calls_{2};
+};
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/entry/operator_api.cpp
@@ -0,0 +1,258 @@
+#include "entry/operator_api.hpp"
+
+#include "entry/entry_process.hpp"
+#include "entry/task_json.hpp"
+#include "net/loop_call.hpp"
+
+#include <egretstile/platform/clock/boot_now.hpp>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/UUIDGenerator.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace egretstile::daemon {
+
+namespace {
+
+constexpr milliseconds status_timeout{1000};
+
+std::vector<std::string> split_path(const std::string& path) {
+    std::vector<std::string> parts;
+    std::size_t begin = 1;
+    while (begin <= path.size()) {
+        const std::size_t end = std::min(path.find('/', begin), path.size());
+        parts.push_back(path.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return parts;
+}
+
+http_answer json_answer(int status, const Poco::JSON::Object::Ptr& object) {
+    return {status, "application/json", {}, to_text(object)};
+}
+
+http_answer error_answer(int status, const std::string& sentence) {
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("outcome", "refused");
+    object->set("reason", sentence);
+    return json_answer(status, object);
+}
+
+int status_of(change_outcome outcome) {
+    switch (outcome) {
+    case change_outcome::accepted:
+    case change_outcome::unchanged:
+        return 200;
+    case change_outcome::conflict:
+        return 409;
+    case change_outcome::unavailable:
+        return 503;
+    case change_outcome::unknown:
+        return 504;
+    }
+    return 504;
+}
+
+constexpr std::array<enum_name<change_outcome>, 5> change_outcome_names{
+    {{change_outcome::accepted, "accepted"},
+     {change_outcome::unchanged, "unchanged"},
+     {change_outcome::conflict, "refused"},
+     {change_outcome::unknown, "unknown"},
+     {change_outcome::unavailable, "refused"}}};
+
+http_answer change_answer(const change_result& result) {
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("outcome", std::string(name_of(change_outcome_names, result.outcome)));
+    object->set("version", result.current.version);
+    object->set("revision", result.revision);
+    if (result.outcome == change_outcome::conflict) {
+        object->set("reason", "another change won: " + result.current.changed_by);
+    }
+    if (result.outcome == change_outcome::unavailable) {
+        object->set("reason", "the key-value service does not answer; nothing was changed");
+    }
+    return json_answer(status_of(result.outcome), object);
+}
+
+std::string new_change_id() {
+    return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
+/// Compares in a time that does not depend on where the texts differ.
+bool equal_tokens(const std::string& left, const std::string& right) {
+    unsigned difference = left.size() == right.size() ? 0U : 1U;
+    for (std::size_t i = 0; i < std::min(left.size(), right.size()); ++i) {
+        difference |= static_cast<unsigned char>(left[i]) ^ static_cast<unsigned char>(right[i]);
+    }
+    return difference == 0;
+}
+
+Poco::JSON::Object::Ptr vm_json(const fleet_vm& vm, boot_time now) {
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("vm", vm.view.vm);
+    object->set("failure_domain", vm.view.failure_domain);
+    object->set("rack", vm.view.rack);
+    object->set("upstream", std::string(name_of(wire::upstream_state_names, vm.upstream)));
+    object->set("draining", vm.draining);
+    object->set("plan_revision", vm.plan_revision);
+    object->set("reserved_millicores", vm.view.reserved.cpu_millicores);
+    object->set("capacity_millicores", vm.view.capacity.cpu_millicores);
+    object->set("runs", vm.view.runs.size());
+    object->set("silent_ms",
+                std::chrono::duration_cast<milliseconds>(now - vm.last_heartbeat).count());
+    return object;
+}
+
+} // namespace
+
+http_answer operator_api::handle(const http_request& request) {
+    if (request.path == "/healthz") {
+        return {200, "text/plain", {}, "ok\n"};
+    }
+    if (request.path == "/readyz") {
+        const bool ready = process_.is_ready();
+        return {ready ? 200 : 503, "text/plain", {}, ready ? "ready\n" : "not ready\n"};
+    }
+    if (request.path == "/metrics") {
+        return {200, "text/plain; version=0.0.4", {}, process_.counters().text()};
+    }
+    if (!is_allowed(request)) {
+        return error_answer(401, "the operators' token is missing or wrong");
+    }
+    return handle_allowed(request);
+}
+
+bool operator_api::is_allowed(const http_request& request) const {
+    const std::string& token = process_.settings().operator_token;
+    return !token.empty() && equal_tokens(request.header("authorization"), "Bearer " + token);
+}
+
+http_answer operator_api::handle_allowed(const http_request& request) {
+    const std::vector<std::string> path = split_path(request.path);
+    const bool is_post = request.method == "POST";
+    if (is_post && path.size() == 4 && path[1] == "domains") {
+        return set_domain(path[2], path[3]);
+    }
+    if (is_post && path.size() == 4 && path[1] == "upstreams") {
+        return set_drain(path[2], path[3]);
+    }
+    if (request.path == "/v1/status") {
+        return status();
+    }
+    if (request.path == "/v1/plan") {
+        return show_plan();
+    }
+    return error_answer(404, "no such path");
+}
+
+http_answer operator_api::set_domain(const std::string& domain, const std::string& state) {
+    const std::optional<domain_state> wanted = value_of(domain_state_names, state);
+    if (!wanted) {
+        return error_answer(400, "the state is in or out");
+    }
+    const change_result result =
+        process_.plans().change(new_change_id(), [&](const plan& current) -> std::optional<plan> {
+            plan changed = current;
+            changed.changed_by = "domain " + domain + " " + state;
+            for (domain_plan& row : changed.domains) {
+                if (row.name == domain) {
+                    if (row.state == *wanted) {
+                        return std::nullopt;
+                    }
+                    row.state = *wanted;
+                    row.changed_in = current.version + 1;
+                    return changed;
+                }
+            }
+            changed.domains.push_back({domain, *wanted, current.version + 1});
+            return changed;
+        });
+    return change_answer(result);
+}
+
+http_answer operator_api::set_drain(const std::string& vm, const std::string& action) {
+    if (action != "drain" && action != "undrain") {
+        return error_answer(400, "the action is drain or undrain");
+    }
+    const bool drain = action == "drain";
+    const change_result result =
+        process_.plans().change(new_change_id(), [&](const plan& current) -> std::optional<plan> {
+            if (is_drained(current, vm) == drain) {
+                return std::nullopt;
+            }
+            plan changed = current;
+            changed.changed_by = action + " " + vm;
+            if (drain) {
+                changed.drained.push_back({vm, current.version + 1});
+            } else {
+                const auto is_vm = [&vm](const drained_vm& row) { return row.name == vm; };
+                changed.drained.erase(
+                    std::remove_if(changed.drained.begin(), changed.drained.end(), is_vm),
+                    changed.drained.end());
+            }
+            return changed;
+        });
+    return change_answer(result);
+}
+
+http_answer operator_api::status() {
+    const std::optional<std::string> text = call_on_loop<std::string>(
+        process_.loop(), status_timeout, [this](const std::function<void(std::string)>& done) {
+            const boot_time now = boot_now();
+            Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+            Poco::JSON::Array::Ptr vms = new Poco::JSON::Array;
+            revision_number oldest = process_.plans().view().revision();
+            for (const auto& [name, vm] : process_.known_fleet().vms()) {
+                vms->add(vm_json(vm, now));
+                oldest = std::min(oldest, vm.plan_revision);
+            }
+            std::size_t queued = 0;
+            process_.tasks().for_each_owned(
+                [&queued](const shard_host& shard) { queued += shard.ledger().queued().size(); });
+            object->set("entry", process_.id());
+            object->set("ready", process_.is_ready());
+            object->set("entries", process_.directory().live().size());
+            object->set("plan_revision", process_.plans().view().revision());
+            object->set("plan_version", process_.plans().current().version);
+            object->set("oldest_plan_revision", oldest);
+            object->set("owned_shards", process_.tasks().owned_shards());
+            object->set("queued_here", queued);
+            object->set("open_requests", process_.requests().open_requests());
+            object->set("vms", vms);
+            done(to_text(object));
+        });
+    if (!text) {
+        return error_answer(503, "the entry is busy");
+    }
+    return {200, "application/json", {}, *text};
+}
+
+http_answer operator_api::show_plan() {
+    const std::optional<plan> current = call_on_loop<plan>(
+        process_.loop(), status_timeout,
+        [this](const std::function<void(plan)>& done) { done(process_.plans().current()); });
+    if (!current) {
+        return error_answer(503, "the entry is busy");
+    }
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    Poco::JSON::Array::Ptr domains = new Poco::JSON::Array;
+    for (const domain_plan& row : current->domains) {
+        Poco::JSON::Object::Ptr domain = new Poco::JSON::Object;
+        domain->set("name", row.name);
+        domain->set("state", std::string(name_of(domain_state_names, row.state)));
+        domains->add(domain);
+    }
+    object->set("version", current->version);
+    object->set("changed_by", current->changed_by);
+    object->set("domains", domains);
+    object->set("rows", current->rows.size());
+    return json_answer(200, object);
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/entry/request_service.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "entry/fleet.hpp"
+#include "net/event_loop.hpp"
+#include "settings/entry_settings.hpp"
+
+#include <egretstile/core/admission/refusal.hpp>
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/routing/request_router.hpp>
+#include <egretstile/wire/message/messages.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egretstile::daemon {
+
+/// A caller's request to a service.
+struct service_request {
+    std::string service;
+    std::string body;
+    bool idempotent{true};
+    boot_time deadline;
+    std::string traceparent;
+};
+
+struct service_answer {
+    wire::serve_outcome outcome{wire::serve_outcome::unknown};
+    refusal reason{refusal::none};
+    std::uint32_t http_status{0};
+    std::string body;
+    /// VM whose upstream answered, and how many attempts were sent.
+    vm_name vm;
+    std::uint32_t attempts{0};
+};
+
+/// Carries out the steps of the request router over the agents' connections. For the event loop's
+/// thread only.
+class request_service {
+public:
+    using answer_callback = std::function<void(const service_answer&)>;
+
+    request_service(event_loop& loop, const routing_settings& settings, fleet& known_fleet);
+
+    /// `done` is called exactly once, at the latest at the deadline.
+    void serve(service_request request, answer_callback done);
+
+    void observe_upstream(const fleet_vm& vm, bool domain_in_service, boot_time now);
+    void forget_upstream(const vm_name& vm);
+    void reply_received(const vm_name& vm, wire::serve_reply reply);
+    /// Requests sent over this VM's lost connection have no answer any more.
+    void connection_lost(const vm_name& vm);
+
+    std::size_t open_requests() const { return open_.size(); }
+
+private:
+    struct attempt_state {
+        vm_name vm;
+        bool finished{false};
+        std::uint32_t http_status{0};
+        std::string body;
+    };
+
+    struct open_request {
+        service_request request;
+        answer_callback done;
+        std::map<std::uint32_t, attempt_state> attempts;
+    };
+
+    void carry_out(const std::vector<routing_step>& steps);
+    void carry_out_step(const send_attempt& step);
+    void carry_out_step(const finish_request& step);
+    void schedule_tick();
+
+    event_loop& loop_;
+    fleet& fleet_;
+    request_router router_;
+    std::map<std::uint64_t, open_request> open_;
+    std::uint64_t next_id_{1};
+    std::optional<boot_time> tick_scheduled_;
+};
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/entry/session.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "net/blocking_pool.hpp"
+#include "net/event_loop.hpp"
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/core/base/terms.hpp>
+#include <egretstile/platform/key_value/key_value_store.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace egretstile::daemon {
+
+/// Key of the session of an entry.
+std::string session_key(const entry_id& entry);
+
+/// The session of this entry at the key-value service: a lease, and a key that lives as long as the
+/// lease. A lease that has ended is never renewed; a new session gets a new entry id, so that an id
+/// whose key is gone stays gone. For the event loop's thread only; calls run on a thread of its
+/// own, because renewal must not wait behind other calls.
+class session {
+public:
+    struct handlers {
+        /// A session with this id was opened by a call sent at `sent_at`.
+        std::function<void(const entry_id&, boot_time sent_at)> on_opened;
+        /// A renewal sent at `sent_at` succeeded.
+        std::function<void(boot_time sent_at)> on_renewed;
+        /// The lease has ended. Another session is opened by itself.
+        std::function<void()> on_lost;
+    };
+
+    session(event_loop& loop, platform::key_value_store& store, const lease_terms& terms,
+            const std::string& entry_name, handlers callbacks);
+
+    /// Opens the session and keeps it.
+    void start();
+
+    bool is_open() const { return lease_.has_value(); }
+
+    const entry_id& id() const { return id_; }
+
+    /// Ends the lease, so that other entries need not wait for it to run out; `done` follows.
+    void close(std::function<void()> done);
+
+private:
+    void maintain();
+    void open();
+    void opened(const entry_id& id, const platform::store_result<platform::lease_id>& result,
+                boot_time sent_at);
+    void renew();
+    void renewed(const platform::store_result<std::monostate>& result, boot_time sent_at);
+    entry_id next_id();
+
+    event_loop& loop_;
+    platform::key_value_store& store_;
+    lease_terms terms_;
+    std::string entry_name_;
+    std::string process_tag_;
+    handlers handlers_;
+    entry_id id_;
+    std::optional<platform::lease_id> lease_;
+    std::uint32_t sessions_opened_{0};
+    bool call_in_flight_{false};
+    bool closing_{false};
+    blocking_pool calls_{1};
+};
+
+} // namespace egretstile::daemon
--- a/packages/daemon/source/main.cpp
+++ b/packages/daemon/source/main.cpp
@@ -1,5 +1,152 @@
+#include "agent/agent_process.hpp"
+#include "entry/entry_process.hpp"
+#include "net/stop_signal.hpp"
+#include "settings/settings_loader.hpp"
+#include "telemetry/log.hpp"
+
+#include <Poco/Exception.h>
+#include <boost/program_options.hpp>
+
 #include <cstdlib>
+#include <iostream>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace egretstile::daemon;
+
+constexpr int exit_usage = 2;
+
+const char* const usage =
+    "Usage:\n"
+    "  egretstiled entry --settings FILE             run on an entry VM\n"
+    "  egretstiled agent --settings FILE             run beside an upstream\n"
+    "  egretstiled check-settings entry|agent FILE   check a settings file\n"
+    "  egretstiled print-defaults entry|agent        write a commented settings file\n"
+    "Example: egretstiled entry --settings /etc/egretstile/entry.toml\n"
+    "Exit codes: 0 done, 1 failed, 2 wrong usage or settings\n";
+
+int print_errors(const std::vector<settings_error>& errors) {
+    for (const settings_error& error : errors) {
+        std::cerr << to_string(error) << '\n';
+    }
+    return exit_usage;
+}
+
+/// Runs a process until it has stopped; the stop signal asks it to.
+template <typename Process, typename Settings>
+int run_process(Settings settings) {
+    stop_signal signal;
+    const std::optional<log_level> level = value_of(log_level_names, settings.common.log_level);
+    start_logging(level.value_or(log_level::info));
+    try {
+        Process process(std::move(settings));
+        signal.listen([&process] { process.request_stop(); });
+        process.run();
+        return EXIT_SUCCESS;
+    } catch (const Poco::Exception& error) {
+        write_log(log_part::process, log_level::error, "Cannot start.",
+                  "reason=\"" + error.displayText() + "\"");
+        return EXIT_FAILURE;
+    }
+}
+
+int run_entry(const std::string& file) {
+    std::variant<entry_settings, std::vector<settings_error>> loaded = load_entry_settings(file);
+    if (const std::vector<settings_error>* const errors =
+            std::get_if<std::vector<settings_error>>(&loaded)) {
+        return print_errors(*errors);
+    }
+    return run_process<entry_process>(std::move(std::get<entry_settings>(loaded)));
+}
 
-int main() {
+int run_agent(const std::string& file) {
+    std::variant<agent_settings, std::vector<settings_error>> loaded = load_agent_settings(file);
+    if (const std::vector<settings_error>* const errors =
+            std::get_if<std::vector<settings_error>>(&loaded)) {
+        return print_errors(*errors);
+    }
+    return run_process<agent_process>(std::move(std::get<agent_settings>(loaded)));
+}
+
+template <typename Settings>
+int report_check(const std::variant<Settings, std::vector<settings_error>>& loaded) {
+    if (const std::vector<settings_error>* const errors =
+            std::get_if<std::vector<settings_error>>(&loaded)) {
+        return print_errors(*errors);
+    }
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+}
+
+int check_settings(const std::string& role, const std::string& file) {
+    if (role == "entry") {
+        return report_check(load_entry_settings(file));
+    }
+    if (role == "agent") {
+        return report_check(load_agent_settings(file));
+    }
+    std::cerr << usage;
+    return exit_usage;
+}
+
+int print_role_defaults(const std::string& role) {
+    const std::optional<process_role> known = value_of(process_role_names, role);
+    if (!known) {
+        std::cerr << usage;
+        return exit_usage;
+    }
+    std::cout << print_defaults(*known);
     return EXIT_SUCCESS;
 }
+
+int run_command(const options::variables_map& values) {
+    const std::vector<std::string> words = values.count("command") == 0
+                                               ? std::vector<std::string>()
+                                               : values["command"].as<std::vector<std::string>>();
+    if (words.size() == 3 && words[0] == "check-settings") {
+        return check_settings(words[1], words[2]);
+    }
+    if (words.size() == 2 && words[0] == "print-defaults") {
+        return print_role_defaults(words[1]);
+    }
+    if (words.size() == 1 && values.count("settings") != 0) {
+        const std::string file = values["settings"].as<std::string>();
+        if (words[0] == "entry") {
+            return run_entry(file);
+        }
+        if (words[0] == "agent") {
+            return run_agent(file);
+        }
+    }
+    std::cerr << usage;
+    return exit_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    options::options_description named;
+    named.add_options()("help", "")("settings", options::value<std::string>())(
+        "command", options::value<std::vector<std::string>>());
+    options::positional_options_description positional;
+    positional.add("command", -1);
+    try {
+        options::variables_map values;
+        options::store(
+            options::command_line_parser(argc, argv).options(named).positional(positional).run(),
+            values);
+        if (values.count("help") != 0) {
+            std::cout << usage;
+            return EXIT_SUCCESS;
+        }
+        return run_command(values);
+    } catch (const options::error& error) {
+        std::cerr << error.what() << '\n' << usage;
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/packages/daemon/source/net/frame_connection.cpp
@@ -0,0 +1,213 @@
+#include "net/frame_connection.hpp"
+
+#include "telemetry/log.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/RandomStream.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace egretstile::daemon {
+
+namespace {
+
+/// A peer that reads nothing while this much waits is treated as lost; keeps memory bounded.
+constexpr std::size_t max_queued_bytes = 16 * 1024 * 1024;
+constexpr std::size_t read_chunk_bytes = 64 * 1024;
+
+wire::nonce make_nonce() {
+    wire::nonce value{};
+    Poco::RandomInputStream random;
+    random.read(value.data(), static_cast<std::streamsize>(value.size()));
+    return value;
+}
+
+} // namespace
+
+frame_connection::frame_connection(event_loop& loop, const Poco::Net::StreamSocket& socket,
+                                   side own_side, std::string deployment_key, wire::hello own_hello,
+                                   handlers callbacks)
+    : loop_(loop)
+    , socket_(socket)
+    , side_(own_side)
+    , deployment_key_(std::move(deployment_key))
+    , own_hello_(std::move(own_hello))
+    , handlers_(std::move(callbacks))
+    , own_nonce_(make_nonce()) {}
+
+void frame_connection::start() {
+    output_.assign(own_nonce_.begin(), own_nonce_.end());
+    const std::weak_ptr<frame_connection> self = weak_from_this();
+    loop_.watch(socket_, Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_WRITE,
+                [self](int mode) {
+                    if (const std::shared_ptr<frame_connection> connection = self.lock()) {
+                        connection->handle_ready(mode);
+                    }
+                });
+}
+
+bool frame_connection::send(const wire::message& message) {
+    if (!is_open() || queued_bytes() > max_queued_bytes) {
+        return false;
+    }
+    output_ += encoder_->encode(message);
+    write_pending();
+    return !closed_;
+}
+
+void frame_connection::close() {
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    loop_.unwatch(socket_);
+    socket_.close();
+}
+
+void frame_connection::handle_ready(int mode) {
+    // The callbacks may drop the last reference to this object.
+    const std::shared_ptr<frame_connection> self = shared_from_this();
+    if (!closed_ && (mode & Poco::Net::PollSet::POLL_ERROR) != 0) {
+        fail();
+        return;
+    }
+    if (!closed_ && (mode & Poco::Net::PollSet::POLL_WRITE) != 0) {
+        write_pending();
+    }
+    if (!closed_ && (mode & Poco::Net::PollSet::POLL_READ) != 0) {
+        read_available();
+    }
+}
+
+void frame_connection::read_available() {
+    std::array<char, read_chunk_bytes> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    int received = 0;
+    try {
+        received = socket_.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+    } catch (const Poco::TimeoutException&) {
+        return;
+    } catch (const Poco::Exception&) {
+        fail();
+        return;
+    }
+    if (received == 0) {
+        fail();
+        return;
+    }
+    if (received < 0) {
+        return;
+    }
+    bytes_received_ += static_cast<std::uint64_t>(received);
+    const std::string_view bytes(chunk.data(), static_cast<std::size_t>(received));
+    if (decoder_) {
+        decoder_->append(bytes);
+    } else {
+        nonce_input_.append(bytes);
+        if (!take_nonce()) {
+            return;
+        }
+    }
+    take_messages();
+}
+
+bool frame_connection::take_nonce() {
+    if (nonce_input_.size() < wire::nonce_bytes) {
+        return false;
+    }
+    wire::nonce other{};
+    std::copy_n(nonce_input_.begin(), wire::nonce_bytes, other.begin());
+    const bool is_client = side_ == side::client;
+    const wire::nonce& client = is_client ? own_nonce_ : other;
+    const wire::nonce& server = is_client ? other : own_nonce_;
+    const std::string client_key =
+        wire::derive_frame_key(deployment_key_, client, server, wire::frame_direction::from_client);
+    const std::string server_key =
+        wire::derive_frame_key(deployment_key_, client, server, wire::frame_direction::from_server);
+    encoder_.emplace(is_client ? client_key : server_key);
+    decoder_.emplace(is_client ? server_key : client_key);
+    decoder_->append(std::string_view(nonce_input_).substr(wire::nonce_bytes));
+    nonce_input_.clear();
+    output_ += encoder_->encode(own_hello_);
+    write_pending();
+    return !closed_;
+}
+
+void frame_connection::take_messages() {
+    while (!closed_) {
+        std::optional<std::variant<wire::message, wire::frame_error>> next = decoder_->next();
+        if (!next) {
+            return;
+        }
+        if (const wire::frame_error* const error = std::get_if<wire::frame_error>(&*next)) {
+            write_log(log_part::net, log_level::warning, "Closed a connection after a bad frame.",
+                      "error=" + std::string(name_of(wire::frame_error_names, *error)) +
+                          " peer=" + (peer_ ? peer_->name : "unauthenticated"));
+            fail();
+            return;
+        }
+        wire::message& message = std::get<wire::message>(*next);
+        if (!peer_) {
+            take_hello(message);
+        } else {
+            handlers_.on_message(*this, std::move(message));
+        }
+    }
+}
+
+void frame_connection::take_hello(const wire::message& message) {
+    const wire::hello* const hello = std::get_if<wire::hello>(&message);
+    if (hello == nullptr) {
+        fail();
+        return;
+    }
+    peer_ = *hello;
+    handlers_.on_open(*this, *peer_);
+}
+
+void frame_connection::write_pending() {
+    while (sent_ < output_.size()) {
+        int written = 0;
+        try {
+            const std::string_view rest = std::string_view(output_).substr(sent_);
+            written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
+        } catch (const Poco::TimeoutException&) {
+            written = 0;
+        } catch (const Poco::Exception&) {
+            fail();
+            return;
+        }
+        if (written <= 0) {
+            break;
+        }
+        sent_ += static_cast<std::size_t>(written);
+        bytes_sent_ += static_cast<std::uint64_t>(written);
+    }
+    if (sent_ == output_.size()) {
+        output_.clear();
+        sent_ = 0;
+    }
+    update_mode();
+}
+
+void frame_connection::update_mode() {
+    const bool wants_write = !output_.empty();
+    if (wants_write == wants_write_) {
+        return;
+    }
+    wants_write_ = wants_write;
+    const int read = Poco::Net::PollSet::POLL_READ;
+    loop_.change_mode(socket_, wants_write ? read | Poco::Net::PollSet::POLL_WRITE : read);
+}
+
+void frame_connection::fail() {
+    if (closed_) {
+        return;
+    }
+    close();
+    handlers_.on_closed(*this);
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/net/frame_connection.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+
+#include <egretstile/wire/frame/frame_codec.hpp>
+#include <egretstile/wire/message/messages.hpp>
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace egretstile::daemon {
+
+/// One authenticated connection to another process of the deployment. Each side first sends its
+/// nonce; every frame then carries a MAC under keys made of both nonces, and each side's first
+/// message is `hello`. For the event loop's thread only.
+class frame_connection : public std::enable_shared_from_this<frame_connection> {
+public:
+    enum class side : std::uint8_t { client, server };
+
+    struct handlers {
+        /// Gets each message after `hello`.
+        std::function<void(frame_connection&, wire::message&&)> on_message;
+        /// The other side's hello has arrived: both sides are authenticated.
+        std::function<void(frame_connection&, const wire::hello&)> on_open;
+        /// Called once; the connection is closed and gives nothing more.
+        std::function<void(frame_connection&)> on_closed;
+    };
+
+    /// `socket` is connected or connecting, and non-blocking.
+    frame_connection(event_loop& loop, const Poco::Net::StreamSocket& socket, side own_side,
+                     std::string deployment_key, wire::hello own_hello, handlers callbacks);
+    frame_connection(const frame_connection&) = delete;
+    frame_connection& operator=(const frame_connection&) = delete;
+    frame_connection(frame_connection&&) = delete;
+    frame_connection& operator=(frame_connection&&) = delete;
+    ~frame_connection() = default;
+
+    /// Starts the handshake. Call once, on an object held by a shared pointer.
+    void start();
+
+    bool is_open() const { return peer_.has_value() && !closed_; }
+
+    /// Precondition: `is_open` was true once.
+    const wire::hello& peer() const { return *peer_; }
+
+    /// Queues a message; false when the connection is not open or its queue is full.
+    bool send(const wire::message& message);
+
+    /// Bytes queued and not yet taken by the operating system.
+    std::size_t queued_bytes() const { return output_.size() - sent_; }
+
+    std::uint64_t bytes_received() const { return bytes_received_; }
+
+    std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+    /// Closes without calling `on_closed`.
+    void close();
+
+private:
+    void handle_ready(int mode);
+    void read_available();
+    bool take_nonce();
+    void take_messages();
+    void take_hello(const wire::message& message);
+    void write_pending();
+    void update_mode();
+    void fail();
+
+    event_loop& loop_;
+    Poco::Net::StreamSocket socket_;
+    side side_;
+    std::string deployment_key_;
+    wire::hello own_hello_;
+    handlers handlers_;
+    wire::nonce own_nonce_{};
+    std::string nonce_input_;
+    std::optional<wire::frame_encoder> encoder_;
+    std::optional<wire::frame_decoder> decoder_;
+    std::optional<wire::hello> peer_;
+    std::string output_;
+    std::size_t sent_{0};
+    std::uint64_t bytes_received_{0};
+    std::uint64_t bytes_sent_{0};
+    bool wants_write_{true};
+    bool closed_{false};
+};
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/net/frame_server.cpp
@@ -0,0 +1,102 @@
+#include "net/frame_server.hpp"
+
+#include <egretstile/platform/clock/boot_now.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+/// Agents of a whole rack or failure domain connect at the same time after it comes back.
+constexpr int accept_backlog = 512;
+
+/// A peer that does not complete the handshake must not keep a connection.
+constexpr milliseconds handshake_timeout{2000};
+
+} // namespace
+
+frame_server::frame_server(event_loop& loop, const endpoint& address, std::string deployment_key,
+                           wire::hello own_hello, frame_connection::handlers callbacks)
+    : loop_(loop)
+    , deployment_key_(std::move(deployment_key))
+    , own_hello_(std::move(own_hello))
+    , handlers_(std::move(callbacks)) {
+    socket_.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    socket_.listen(accept_backlog);
+    socket_.setBlocking(false);
+    loop_.watch(socket_, Poco::Net::PollSet::POLL_READ, [this](int /*mode*/) { accept_waiting(); });
+}
+
+frame_server::~frame_server() {
+    loop_.unwatch(socket_);
+    for (const std::shared_ptr<frame_connection>& connection : connections_) {
+        connection->close();
+    }
+}
+
+void frame_server::set_hello(wire::hello own_hello) {
+    own_hello_ = std::move(own_hello);
+}
+
+std::uint64_t frame_server::bytes_received() const {
+    std::uint64_t total = closed_bytes_received_;
+    for (const std::shared_ptr<frame_connection>& connection : connections_) {
+        total += connection->bytes_received();
+    }
+    return total;
+}
+
+std::uint64_t frame_server::bytes_sent() const {
+    std::uint64_t total = closed_bytes_sent_;
+    for (const std::shared_ptr<frame_connection>& connection : connections_) {
+        total += connection->bytes_sent();
+    }
+    return total;
+}
+
+void frame_server::remove(const std::shared_ptr<frame_connection>& connection) {
+    closed_bytes_received_ += connection->bytes_received();
+    closed_bytes_sent_ += connection->bytes_sent();
+    connections_.erase(connection);
+}
+
+void frame_server::accept_waiting() {
+    try {
+        while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+            Poco::Net::StreamSocket accepted = socket_.acceptConnection();
+            accepted.setBlocking(false);
+            accepted.setNoDelay(true);
+            frame_connection::handlers callbacks = handlers_;
+            callbacks.on_closed = [this](frame_connection& connection) {
+                const std::shared_ptr<frame_connection> closed = connection.shared_from_this();
+                handlers_.on_closed(connection);
+                remove(closed);
+            };
+            const std::shared_ptr<frame_connection> connection = std::make_shared<frame_connection>(
+                loop_, accepted, frame_connection::side::server, deployment_key_, own_hello_,
+                std::move(callbacks));
+            connections_.insert(connection);
+            connection->start();
+            close_unless_open(connection);
+        }
+    } catch (const Poco::Exception&) {
+        // The peer gave up before the connection was accepted; the next poll takes the others.
+    }
+}
+
+void frame_server::close_unless_open(const std::shared_ptr<frame_connection>& connection) {
+    const std::weak_ptr<frame_connection> watched = connection;
+    loop_.call_at(boot_now() + handshake_timeout, [this, watched] {
+        const std::shared_ptr<frame_connection> pending = watched.lock();
+        if (pending != nullptr && !pending->is_open()) {
+            pending->close();
+            remove(pending);
+        }
+    });
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/net/frame_server.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "net/event_loop.hpp"
+#include "net/frame_connection.hpp"
+#include "settings/entry_settings.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace egretstile::daemon {
+
+/// Accepts frame connections. Must live as long as the loop runs. For the event loop's thread only.
+class frame_server {
+public:
+    /// Binds at once. Throws Poco::Exception when the address cannot be bound.
+    frame_server(event_loop& loop, const endpoint& address, std::string deployment_key,
+                 wire::hello own_hello, frame_connection::handlers callbacks);
+    frame_server(const frame_server&) = delete;
+    frame_server& operator=(const frame_server&) = delete;
+    frame_server(frame_server&&) = delete;
+    frame_server& operator=(frame_server&&) = delete;
+    ~frame_server();
+
+    std::uint16_t port() const { return socket_.address().port(); }
+
+    /// Bytes of all connections, closed ones included.
+    std::uint64_t bytes_received() const;
+    std::uint64_t bytes_sent() const;
+
+    /// Says hello with this name on connections accepted from now on.
+    void set_hello(wire::hello own_hello);
+
+private:
+    void accept_waiting();
+    void remove(const std::shared_ptr<frame_connection>& connection);
+    void close_unless_open(const std::shared_ptr<frame_connection>& connection);
+
+    event_loop& loop_;
+    Poco::Net::ServerSocket socket_;
+    std::string deployment_key_;
+    wire::hello own_hello_;
+    frame_connection::handlers handlers_;
+    std::set<std::shared_ptr<frame_connection>> connections_;
+    std::uint64_t closed_bytes_received_{0};
+    std::uint64_t closed_bytes_sent_{0};
+};
+
+} // namespace egretstile::daemon
