--- a/packages/core/include/egretstile/core/admission/admission_controller.hpp
+++ b/packages/core/include/egretstile/core/admission/admission_controller.hpp
@@ -33,6 +33,10 @@
     /// plus the grant term.
     std::uint64_t heartbeat_sequence{0};
     std::string checkpoint;
+    /// Boot id of the worker in the owner's record of this attempt; empty when not told. The owner
+    /// ends the run when it hears of another boot, so the run must not start on one. Without it
+    /// only the named heartbeat shows that the owner may not know the present boot.
+    std::string worker_boot;
 };
 
 /// The agent refuses the start and will refuse every duplicate of it.
@@ -96,9 +100,8 @@
     /// An admitted run that is not listed was not started only if the status call was sent after
     /// the start's `start_before`; before that the start call may still arrive.
     ///
-    /// A new boot id ends the runs of the earlier boot as `lease_expired`. While a start call may
-    /// still reach the new worker, the new boot is not taken and the worker counts as not known,
-    /// because the owner ends all runs of the earlier boot when it hears of the new one.
+    /// A new boot id ends the runs of the earlier boot as `lease_expired`; they stay reported until
+    /// acknowledged, so that a repeated start is not refused as one that never ran.
     ///
     /// A status is ignored when it was sent before the last one or more than a grant term ago. When
     /// the worker has seen a later agent, nothing more is admitted.
@@ -160,6 +163,7 @@
     /// Why the start must be refused at `now`; none when it may be admitted.
     refusal why_refused(const start_request& request, boot_time now);
     refusal why_not_now(boot_time now) const;
+    bool is_for_other_boot(const start_request& request) const;
     worker_start make_call(const start_request& request, boot_time now) const;
     start_decision answer_known(const agent_run& run) const;
     /// Whether `epoch` is at least the highest seen of the shard; remembers it.
@@ -179,6 +183,8 @@
     bool draining_{false};
     bool worker_known_{false};
     std::string worker_boot_;
+    /// Heartbeats with a lower sequence number reported an earlier boot.
+    std::uint64_t first_heartbeat_of_boot_{0};
     std::optional<boot_time> observed_sent_at_;
     resources capacity_;
 };
--- a/packages/core/include/egretstile/core/admission/agent_run.hpp
+++ b/packages/core/include/egretstile/core/admission/agent_run.hpp
@@ -41,9 +41,6 @@
     /// Whether the heartbeat with that sequence number listed the run.
     bool listed_in(std::uint64_t heartbeat) const { return first_heartbeat_ <= heartbeat; }
 
-    /// Whether the run is admitted and a start call may take effect after `time`.
-    bool may_start_after(boot_time time) const;
-
     void extend_grant(boot_time until);
     /// A stop without a checkpoint replaces one with a checkpoint, not the reverse.
     void request_stop(stop_request request);
--- a/packages/core/include/egretstile/core/admission/run_table.hpp
+++ b/packages/core/include/egretstile/core/admission/run_table.hpp
@@ -43,7 +43,6 @@
     /// Retires what is finished and forgets what was retired a grant term ago.
     void retire(boot_time now);
 
-    bool may_start_after(boot_time time) const;
     resources reserved() const;
     std::vector<run_report> reports() const;
 
--- a/packages/core/include/egretstile/core/admission/worker_types.hpp
+++ b/packages/core/include/egretstile/core/admission/worker_types.hpp
@@ -45,6 +45,10 @@
     boot_time lease_until;
     /// The worker refuses the start after this time.
     boot_time start_before;
+    /// The worker refuses the start when its boot id is another one: the owner ends the runs of an
+    /// earlier boot when it hears of a new one, so a start that was sent before a restart of the
+    /// worker must not take effect after it.
+    std::string boot;
 };
 
 struct worker_renewal {
--- a/packages/core/source/admission/admission_controller.cpp
+++ b/packages/core/source/admission/admission_controller.cpp
@@ -31,14 +31,13 @@
         return;
     }
     observed_sent_at_ = sent_at;
-    const bool restarted = !worker_boot_.empty() && worker_boot_ != status.boot;
-    worker_known_ =
-        status.incarnation <= incarnation_ && !(restarted && runs_.may_start_after(sent_at));
+    worker_known_ = status.incarnation <= incarnation_;
     if (!worker_known_) {
         return;
     }
-    if (restarted) {
+    if (!worker_boot_.empty() && worker_boot_ != status.boot) {
         runs_.worker_restarted(now);
+        first_heartbeat_of_boot_ = heartbeats_.next_sequence();
     }
     worker_boot_ = status.boot;
     capacity_ = status.capacity;
@@ -125,6 +124,9 @@
     if (reason != refusal::none) {
         return reason;
     }
+    if (is_for_other_boot(request)) {
+        return refusal::stale_incarnation;
+    }
     const worker_start call = make_call(request, now);
     if (call.lease_until <= now) {
         return refusal::grant_expired;
@@ -153,6 +155,11 @@
     return domain_in_service_ ? refusal::none : refusal::domain_out;
 }
 
+bool admission_controller::is_for_other_boot(const start_request& request) const {
+    const bool names_other = !request.worker_boot.empty() && request.worker_boot != worker_boot_;
+    return names_other || request.heartbeat_sequence < first_heartbeat_of_boot_;
+}
+
 /// Precondition: a plan was confirmed. The lease of a start without a valid heartbeat is over.
 worker_start admission_controller::make_call(const start_request& request, boot_time now) const {
     const std::optional<boot_time> sent_at =
@@ -164,6 +171,7 @@
     call.shard = request.shard;
     call.spec = request.spec;
     call.checkpoint = request.checkpoint;
+    call.boot = worker_boot_;
     call.lease_until = grant_end;
     call.start_before = std::min(grant_end, plan_end);
     return call;
--- a/packages/core/source/admission/agent_run.cpp
+++ b/packages/core/source/admission/agent_run.cpp
@@ -36,10 +36,6 @@
     return result;
 }
 
-bool agent_run::may_start_after(boot_time time) const {
-    return report_.phase == run_phase::starting && start_before_ >= time;
-}
-
 void agent_run::extend_grant(boot_time until) {
     if (!ended() && stop_ == stop_request::none) {
         grant_until_ = std::max(grant_until_, until);
@@ -94,7 +90,7 @@
 void agent_run::unlisted(boot_time sent_at, boot_time now) {
     if (report_.phase == run_phase::starting) {
         // The start call may still be on its way until the worker refuses it as too late.
-        if (!may_start_after(sent_at)) {
+        if (sent_at > start_before_) {
             reason_ = refusal::worker_refused;
             end(run_phase::refused, "the worker never listed the run", now);
         }
--- a/packages/core/source/admission/run_table.cpp
+++ b/packages/core/source/admission/run_table.cpp
@@ -70,15 +70,6 @@
     });
 }
 
-bool run_table::may_start_after(boot_time time) const {
-    for (const auto& [name, run] : runs_) {
-        if (run.may_start_after(time)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 resources run_table::reserved() const {
     resources sum;
     for (const auto& [name, run] : runs_) {
--- a/packages/core/tests/admission/admission_controller_test.cpp
+++ b/packages/core/tests/admission/admission_controller_test.cpp
@@ -406,7 +406,7 @@
 
 TEST_CASE("a run taken over after a restart of the agent has no grant but its lease") {
     admission_fixture vm;
-    vm.worker.runs.push_back(admission_fixture::listed({{"a", 1}, 1, {}, "", {}, {}}));
+    vm.worker.runs.push_back(admission_fixture::listed({{"a", 1}, 1, {}, "", {}, {}, ""}));
     vm.worker.runs[0].need = {3000, 1, 0};
     vm.worker.runs[0].lease_until = vm.now + milliseconds(2000);
     vm.worker.runs.push_back(vm.worker.runs[0]);
@@ -426,7 +426,7 @@
 
 TEST_CASE("ended runs found after a restart of the agent are reported until acknowledged") {
     admission_fixture vm;
-    vm.worker.runs.push_back(admission_fixture::listed({{"a", 1}, 1, {}, "", {}, {}}));
+    vm.worker.runs.push_back(admission_fixture::listed({{"a", 1}, 1, {}, "", {}, {}, ""}));
     vm.worker.runs[0].phase = run_phase::succeeded;
     vm.worker.runs[0].detail = "result";
     vm.observe();
@@ -497,24 +497,34 @@
     CHECK(vm.reports().empty());
 }
 
-TEST_CASE("a new boot of the worker is not reported while a start call may still reach it") {
+TEST_CASE("a start made for an earlier boot of the worker does not run on the next one") {
     admission_fixture vm;
     vm.make_ready();
-    const start_request request = vm.start("a");
-    const worker_start call =
-        std::get<start_admitted>(vm.agent.request_start(request, vm.now)).call;
-    vm.agent.start_finished(call.run, call_result::unknown, vm.now);
+    const start_request before = vm.start("a");
+    start_request told = vm.start("b");
+    told.worker_boot = "boot-1";
     vm.worker.boot = "boot-2";
     vm.observe();
-    CHECK_FALSE(vm.agent.worker_known());
-    CHECK(vm.agent.worker_boot() == "boot-1");
-    CHECK(vm.only_phase() == run_phase::starting);
-    CHECK(refusal_of(vm.agent.request_start(vm.start("b"), vm.now)) == refusal::not_ready);
-    vm.now = call.start_before;
+    CHECK(refusal_of(vm.agent.request_start(before, vm.now)) == refusal::stale_incarnation);
+    told.heartbeat_sequence = vm.exchange();
+    CHECK(refusal_of(vm.agent.request_start(told, vm.now)) == refusal::stale_incarnation);
+    start_request present = vm.start("c");
+    present.worker_boot = "boot-2";
+    const start_decision decision = vm.agent.request_start(present, vm.now);
+    REQUIRE(is_admitted(decision));
+    CHECK(std::get<start_admitted>(decision).call.boot == "boot-2");
+}
+
+TEST_CASE("a start in flight during a restart of the worker does not count as never run") {
+    admission_fixture vm;
+    vm.make_ready();
+    const start_request request = vm.start("a");
+    CHECK(is_admitted(vm.agent.request_start(request, vm.now)));
+    vm.worker.boot = "boot-2";
     vm.observe();
-    CHECK(vm.agent.worker_known());
-    CHECK(vm.agent.worker_boot() == "boot-2");
-    CHECK(vm.reports()[0].phase == run_phase::lease_expired);
+    CHECK(vm.only_phase() == run_phase::lease_expired);
+    vm.agent.start_finished({"a", 1}, call_result::refused, vm.now);
+    CHECK(vm.only_phase() == run_phase::lease_expired);
 }
 
 TEST_CASE("an agent that a later one replaced admits nothing") {
