--- a/testing/bench/benches.hpp
+++ b/testing/bench/benches.hpp
@@ -7,6 +7,10 @@
 /// Time of one placement decision at the two-year target: 1,700 VMs, 23,000 runs.
 void run_placement_bench(std::uint64_t seed);
 
+/// Time of one round of the task queue with 23,000 waiting tasks of 60 teams, and of one VM report
+/// in the interference model and controller.
+void run_queue_bench(std::uint64_t seed);
+
 /// Time of one routing decision at 11 and 400 upstreams.
 void run_routing_bench(std::uint64_t seed);
 
