entry: apply sheets, run the plan's rows, and place tasks by the queue and the model

Cause: operators had no way to apply a sheet, the plan's rows made no tasks, and placement was a stand-in that took the first VM that fits. Excluded: keys of watch tasks without a generation. A changed row would conflict with its committed task, and a second key in another shard could run beside the first; generations share a shard, whose owner starts the next only after the former has ended.

--- a/packages/core/include/egretstile/core/task/shard_ledger.hpp
+++ b/packages/core/include/egretstile/core/task/shard_ledger.hpp
@@ -118,6 +118,11 @@
     /// State with the changes that are not committed yet.
     const task_record* find(const task_key& key) const;
 
+    /// Keys that begin with `prefix`, in order; also those not committed yet.
+    std::vector<task_key> keys_with_prefix(const std::string& prefix) const {
+        return tasks_.keys_with_prefix(prefix);
+    }
+
     /// Tasks that wait for a VM, in order of acceptance. The pointers are valid until the next call
     /// of `tick`.
     std::vector<const task_record*> queued() const;
--- a/packages/core/include/egretstile/core/task/task_table.hpp
+++ b/packages/core/include/egretstile/core/task/task_table.hpp
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace egretstile {
 
@@ -59,6 +61,9 @@
     tracked_task* find(const task_key& key);
     const tracked_task* find(const task_key& key) const;
 
+    /// Keys that begin with `prefix`, in order.
+    std::vector<task_key> keys_with_prefix(const std::string& prefix) const;
+
     /// Adds a task as the last one. Precondition: the key is not in the table. `update` must
     /// follow.
     tracked_task& add(const task_record& record);
--- a/packages/core/source/task/task_table.cpp
+++ b/packages/core/source/task/task_table.cpp
@@ -25,6 +25,15 @@
     return found == tasks_.end() ? nullptr : &found->second;
 }
 
+std::vector<task_key> task_table::keys_with_prefix(const std::string& prefix) const {
+    std::vector<task_key> keys;
+    for (auto task = tasks_.lower_bound(prefix);
+         task != tasks_.end() && task->first.compare(0, prefix.size(), prefix) == 0; ++task) {
+        keys.push_back(task->first);
+    }
+    return keys;
+}
+
 tracked_task& task_table::add(const task_record& record) {
     tracked_task& task = tasks_[record.spec.key];
     task.record = record;
--- a/packages/daemon/source/agent/agent_process.cpp
+++ b/packages/daemon/source/agent/agent_process.cpp
@@ -177,6 +177,9 @@
     } else if (const wire::evict_task* const evict = std::get_if<wire::evict_task>(&message)) {
         admission_.request_stop(evict->shard, evict->epoch, evict->run, evict->take_checkpoint);
         advance();
+    } else if (const wire::throttle_task* const throttle =
+                   std::get_if<wire::throttle_task>(&message)) {
+        worker_caller_.throttle(throttle->run, throttle->cpu_percent);
     } else if (wire::serve_request* const request = std::get_if<wire::serve_request>(&message)) {
         take_request(connection, std::move(*request));
     } else if (const wire::cancel_request* const cancel =
--- a/packages/daemon/source/agent/worker_caller.cpp
+++ b/packages/daemon/source/agent/worker_caller.cpp
@@ -82,6 +82,12 @@
     });
 }
 
+void worker_caller::throttle(const task_run& run, std::uint32_t cpu_percent) {
+    calls_.submit([this, run, cpu_percent] {
+        static_cast<void>(worker_.throttle(incarnation_, run, cpu_percent));
+    });
+}
+
 void worker_caller::make_due_calls(boot_time now) {
     std::vector<worker_action> renewals;
     for (const worker_action& action : admission_.due_actions(now)) {
--- a/packages/daemon/source/agent/worker_caller.hpp
+++ b/packages/daemon/source/agent/worker_caller.hpp
@@ -8,6 +8,7 @@
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/platform/worker/worker.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <variant>
@@ -28,6 +29,8 @@
     /// Reads the worker's status unless a read is in progress.
     void poll_status();
     void start(const worker_start& call);
+    /// Limits the run's processor share; a lost call is repeated by the owner.
+    void throttle(const task_run& run, std::uint32_t cpu_percent);
     /// Makes all calls that are due.
     void make_due_calls(boot_time now);
 
--- a/packages/daemon/source/entry/entry_process.cpp
+++ b/packages/daemon/source/entry/entry_process.cpp
@@ -4,7 +4,6 @@
 #include "entry/operator_api.hpp"
 #include "telemetry/log.hpp"
 
-#include <egretstile/core/placement/make_placement_strategy.hpp>
 #include <egretstile/core/shard/shard_map.hpp>
 #include <egretstile/platform/clock/boot_now.hpp>
 
@@ -21,6 +20,7 @@
 constexpr milliseconds schedule_interval{25};
 constexpr milliseconds shard_interval{500};
 constexpr milliseconds housekeeping_interval{200};
+constexpr milliseconds plan_interval{1000};
 /// After a stop was requested, callers are still served for this long, so that the balancer sees
 /// `/readyz` fail before connections are refused.
 constexpr milliseconds stop_notice{1000};
@@ -47,9 +47,8 @@
     , tasks_(loop_, store_, settings_, fleet_)
     , requests_(loop_, settings_.routing, fleet_)
     , peers_(loop_, settings_)
-    , scheduler_(
-          settings_, tasks_, fleet_, plans_,
-          make_placement_strategy(settings_.placement, settings_.routing.seed, interference_))
+    , scheduler_(settings_, tasks_, fleet_, plans_)
+    , plan_runner_(tasks_, plans_)
     , peer_server_(loop_, settings_.peers, settings_.common.deployment_key,
                    {wire::peer_role::entry, settings_.name, 0}, peer_handlers())
     , caller_api_(std::make_unique<caller_api>(*this))
@@ -88,10 +87,12 @@
     loop_.call_every(advance_interval, [this] { tasks_.advance(); });
     loop_.call_every(schedule_interval, [this] { scheduler_.run(boot_now()); });
     loop_.call_every(shard_interval, [this] { tasks_.maintain(directory_); });
+    loop_.call_every(plan_interval, [this] { plan_runner_.run(boot_now(), wall_now_ms()); });
     loop_.call_every(housekeeping_interval, [this] {
         peers_.maintain();
         for (const vm_name& vm : fleet_.remove_silent(boot_now())) {
             requests_.forget_upstream(vm);
+            scheduler_.forget_vm(vm);
         }
         update_ready();
         update_metrics();
@@ -161,6 +162,8 @@
         reply.vm_drained = is_drained(plans_.current(), heartbeat.vm);
     }
     tasks_.observe(heartbeat, reply, now);
+    learn_ends(heartbeat, reply, now);
+    scheduler_.observe(*vm, now);
     for (const member& row : directory_.live()) {
         reply.entries.push_back({row.id, row.host, row.port});
     }
@@ -168,6 +171,17 @@
     connection.send(reply);
 }
 
+void entry_process::learn_ends(const wire::heartbeat& heartbeat, const wire::heartbeat_reply& reply,
+                               boot_time now) {
+    for (const task_run& run : reply.acknowledged) {
+        for (const run_report& report : heartbeat.runs) {
+            if (report.run == run) {
+                scheduler_.run_ended(heartbeat.vm, report, now);
+            }
+        }
+    }
+}
+
 void entry_process::take_forwarded(frame_connection& connection, const wire::message& message) {
     const std::weak_ptr<frame_connection> link = connection.weak_from_this();
     const auto answer_to = [link](std::uint64_t call_id) {
--- a/packages/daemon/source/entry/entry_process.hpp
+++ b/packages/daemon/source/entry/entry_process.hpp
@@ -5,6 +5,7 @@
 #include "entry/member_directory.hpp"
 #include "entry/peer_links.hpp"
 #include "entry/plan_keeper.hpp"
+#include "entry/plan_runner.hpp"
 #include "entry/request_service.hpp"
 #include "entry/scheduler.hpp"
 #include "entry/session.hpp"
@@ -63,6 +64,8 @@
 
     plan_keeper& plans() { return plans_; }
 
+    scheduler& placement() { return scheduler_; }
+
     const member_directory& directory() const { return directory_; }
 
     const entry_id& id() const { return session_.id(); }
@@ -85,6 +88,9 @@
     frame_connection::handlers peer_handlers();
     void take_message(frame_connection& connection, wire::message&& message);
     void take_heartbeat(frame_connection& connection, const wire::heartbeat& heartbeat);
+    /// Gives the scheduler each end of a run once: when it is acknowledged.
+    void learn_ends(const wire::heartbeat& heartbeat, const wire::heartbeat_reply& reply,
+                    boot_time now);
     void take_forwarded(frame_connection& connection, const wire::message& message);
     void connection_closed(const frame_connection& connection);
     void members_changed();
@@ -109,8 +115,8 @@
     task_service tasks_;
     request_service requests_;
     peer_links peers_;
-    interference_model interference_;
     scheduler scheduler_;
+    plan_runner plan_runner_;
     frame_server peer_server_;
     std::unique_ptr<caller_api> caller_api_;
     std::unique_ptr<operator_api> operator_api_;
--- a/packages/daemon/source/entry/operator_api.cpp
+++ b/packages/daemon/source/entry/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "entry/task_json.hpp"
 #include "net/loop_call.hpp"
 
+#include <egretstile/core/plan/plan_edit.hpp>
 #include <egretstile/platform/clock/boot_now.hpp>
 
 #include <Poco/JSON/Array.h>
@@ -13,7 +14,9 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <set>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace egretstile::daemon {
@@ -142,6 +145,12 @@
     if (is_post && path.size() == 4 && path[1] == "upstreams") {
         return set_drain(path[2], path[3]);
     }
+    if (request.path == "/v1/sheet") {
+        return is_post ? sheets_.apply(request) : sheets_.show();
+    }
+    if (path.size() == 4 && path[1] == "tasks" && path[3] == "explain") {
+        return explain(path[2]);
+    }
     if (request.path == "/v1/status") {
         return status();
     }
@@ -151,29 +160,54 @@
     return error_answer(404, "no such path");
 }
 
+http_answer operator_api::edit_plan(const std::string& changed_by, const plan_change& change) {
+    const change_source source{new_change_id(), changed_by, wall_now_ms()};
+    std::optional<plan_edit_error> refused;
+    const change_result result =
+        process_.plans().change(source.change_id, [&](const plan& current) -> std::optional<plan> {
+            refused.reset();
+            plan_edit_result edited = change(current, source);
+            if (const plan_edit_error* const error = std::get_if<plan_edit_error>(&edited)) {
+                refused = *error;
+                return std::nullopt;
+            }
+            plan& changed = std::get<plan>(edited);
+            return changed.version == current.version ? std::nullopt : std::optional<plan>(changed);
+        });
+    if (refused) {
+        return error_answer(409, std::string(name_of(plan_edit_error_names, *refused)));
+    }
+    return change_answer(result);
+}
+
 http_answer operator_api::set_domain(const std::string& domain, const std::string& state) {
     const std::optional<domain_state> wanted = value_of(domain_state_names, state);
     if (!wanted) {
         return error_answer(400, "the state is in or out");
     }
-    const change_result result =
-        process_.plans().change(new_change_id(), [&](const plan& current) -> std::optional<plan> {
-            plan changed = current;
-            changed.changed_by = "domain " + domain + " " + state;
-            for (domain_plan& row : changed.domains) {
-                if (row.name == domain) {
-                    if (row.state == *wanted) {
-                        return std::nullopt;
-                    }
-                    row.state = *wanted;
-                    row.changed_in = current.version + 1;
-                    return changed;
-                }
-            }
-            changed.domains.push_back({domain, *wanted, current.version + 1});
-            return changed;
+    const std::set<failure_domain_name> seen = domains_with_vms();
+    return edit_plan(
+        "domain " + domain + " " + state, [&](const plan& current, const change_source& source) {
+            plan_edit_result result = set_domain_state(current, domain, *wanted, source);
+            // A domain enters the plan with its first change, but a mistyped name
+            // must not: some VM has to be in it.
+            const bool is_new =
+                std::holds_alternative<plan_edit_error>(result) && seen.count(domain) != 0;
+            return is_new ? add_domain(current, domain, *wanted, source) : result;
         });
-    return change_answer(result);
+}
+
+std::set<failure_domain_name> operator_api::domains_with_vms() {
+    return call_on_loop<std::set<failure_domain_name>>(
+               process_.loop(), status_timeout,
+               [this](const std::function<void(std::set<failure_domain_name>)>& done) {
+                   std::set<failure_domain_name> names;
+                   for (const auto& [name, vm] : process_.known_fleet().vms()) {
+                       names.insert(vm.view.failure_domain);
+                   }
+                   done(std::move(names));
+               })
+        .value_or(std::set<failure_domain_name>());
 }
 
 http_answer operator_api::set_drain(const std::string& vm, const std::string& action) {
@@ -181,24 +215,9 @@
         return error_answer(400, "the action is drain or undrain");
     }
     const bool drain = action == "drain";
-    const change_result result =
-        process_.plans().change(new_change_id(), [&](const plan& current) -> std::optional<plan> {
-            if (is_drained(current, vm) == drain) {
-                return std::nullopt;
-            }
-            plan changed = current;
-            changed.changed_by = action + " " + vm;
-            if (drain) {
-                changed.drained.push_back({vm, current.version + 1});
-            } else {
-                const auto is_vm = [&vm](const drained_vm& row) { return row.name == vm; };
-                changed.drained.erase(
-                    std::remove_if(changed.drained.begin(), changed.drained.end(), is_vm),
-                    changed.drained.end());
-            }
-            return changed;
-        });
-    return change_answer(result);
+    return edit_plan(action + " " + vm, [&](const plan& current, const change_source& source) {
+        return drain ? drain_vm(current, vm, source) : undrain_vm(current, vm, source);
+    });
 }
 
 http_answer operator_api::status() {
@@ -233,6 +252,40 @@
     return {200, "application/json", {}, *text};
 }
 
+http_answer operator_api::explain(const std::string& key) {
+    const boot_time deadline = boot_now() + status_timeout;
+    const std::optional<task_answer> answer = call_on_loop<task_answer>(
+        process_.loop(), 2 * status_timeout,
+        [this, key, deadline](const std::function<void(task_answer)>& done) {
+            process_.query_task(key, deadline, done);
+        });
+    if (!answer || answer->outcome == wire::task_call_outcome::unknown) {
+        return error_answer(503, "the owner of the task's shard does not answer");
+    }
+    if (answer->outcome == wire::task_call_outcome::not_found) {
+        return error_answer(404, "no entry knows this task");
+    }
+    const task_record& record = answer->record;
+    Poco::JSON::Object::Ptr object = to_json(record);
+    object->set("shard", shard_of_task(key, process_.settings().shard_count));
+    object->set("need_millicores", record.spec.need.cpu_millicores);
+    object->set("need_memory_mb", record.spec.need.memory_mb);
+    object->set("need_accelerators", record.spec.need.accelerators);
+    object->set("has_checkpoint", !record.checkpoint.empty());
+    if (record.state == task_state::queued) {
+        object->set("waits_because", why_queued(record.spec));
+    }
+    return json_answer(200, object);
+}
+
+std::string operator_api::why_queued(const task_spec& spec) {
+    return call_on_loop<std::string>(process_.loop(), status_timeout,
+                                     [this, spec](const std::function<void(std::string)>& done) {
+                                         done(process_.placement().why_queued(spec, boot_now()));
+                                     })
+        .value_or("the entry is busy");
+}
+
 http_answer operator_api::show_plan() {
     const std::optional<plan> current = call_on_loop<plan>(
         process_.loop(), status_timeout,
--- /dev/null
+++ b/packages/daemon/source/entry/sheet_api.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "net/http_service.hpp"
+
+namespace egretstile::daemon {
+
+class entry_process;
+
+/// Applies and exports the operators' sheet. Thread-safe; blocks for calls to the key-value
+/// service.
+class sheet_api {
+public:
+    explicit sheet_api(entry_process& process)
+        : process_(process) {}
+
+    /// `POST /v1/sheet`: applies the sheet in the body; `dry_run=1` only shows what would change,
+    /// `confirm_removals=1` allows many removals.
+    http_answer apply(const http_request& request);
+
+    /// `GET /v1/sheet`: the plan in force as a sheet.
+    http_answer show();
+
+private:
+    entry_process& process_;
+};
+
+} // namespace egretstile::daemon
--- a/packages/daemon/source/entry/task_json.cpp
+++ b/packages/daemon/source/entry/task_json.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <sstream>
 
 namespace egretstile::daemon {
@@ -27,6 +28,20 @@
 
     bool flag(const std::string& name, bool fallback) { return value<bool>(name, fallback); }
 
+    /// An empty object when there is no such field.
+    Poco::JSON::Object::Ptr object(const std::string& name) {
+        asked_.insert(name);
+        if (!object_->has(name)) {
+            return new Poco::JSON::Object;
+        }
+        Poco::JSON::Object::Ptr value = object_->getObject(name);
+        if (value.isNull()) {
+            fail(name + " is not an object");
+            return new Poco::JSON::Object;
+        }
+        return value;
+    }
+
     std::int64_t amount(const std::string& name) {
         const std::int64_t result = value<std::int64_t>(name, 0);
         if (result < 0 || result > max_amount) {
@@ -35,6 +50,15 @@
         return result;
     }
 
+    /// A mistyped field name must not silently give a default.
+    void reject_unknown() {
+        for (const std::string& name : object_->getNames()) {
+            if (asked_.count(name) == 0) {
+                fail("there is no field " + name);
+            }
+        }
+    }
+
     void fail(const std::string& error) {
         if (error_.empty()) {
             error_ = error;
@@ -46,6 +70,7 @@
 private:
     template <typename Value>
     Value value(const std::string& name, const Value& fallback) {
+        asked_.insert(name);
         try {
             return object_->has(name) ? object_->getValue<Value>(name) : fallback;
         } catch (const Poco::Exception&) {
@@ -55,6 +80,7 @@
     }
 
     Poco::JSON::Object::Ptr object_;
+    std::set<std::string> asked_;
     std::string error_;
 };
 
@@ -70,6 +96,17 @@
     return *value;
 }
 
+resources read_need(field_reader& fields) {
+    field_reader need(fields.object("need"));
+    const resources amounts{need.amount("cpu_millicores"), need.amount("memory_mb"),
+                            need.amount("accelerators")};
+    need.reject_unknown();
+    if (!need.error().empty()) {
+        fields.fail("need: " + need.error());
+    }
+    return amounts;
+}
+
 std::variant<task_spec, std::string> read_fields(const Poco::JSON::Object::Ptr& object) {
     field_reader fields(object);
     task_spec spec;
@@ -77,11 +114,9 @@
     spec.kind = read_enum(fields, "kind", task_kind_names, spec.kind);
     spec.priority = read_enum(fields, "priority", task_priority_names, spec.priority);
     spec.team = fields.text("team", "");
-    spec.need.cpu_millicores = fields.amount("cpu_millicores");
-    spec.need.memory_mb = fields.amount("memory_mb");
-    spec.need.accelerators = fields.amount("accelerators");
+    spec.need = read_need(fields);
     spec.idempotent = fields.flag("idempotent", false);
-    spec.declared_run_time = milliseconds(fields.amount("run_time_ms"));
+    spec.declared_run_time = milliseconds(fields.amount("declared_run_time_ms"));
     spec.payload = fields.text("payload", "");
     if (spec.key.empty() || spec.key.size() > max_key_bytes) {
         fields.fail("key must have 1 to " + std::to_string(max_key_bytes) + " bytes");
@@ -89,6 +124,7 @@
     if (spec.payload.size() > max_payload_bytes) {
         fields.fail("payload must have at most " + std::to_string(max_payload_bytes) + " bytes");
     }
+    fields.reject_unknown();
     if (!fields.error().empty()) {
         return fields.error();
     }
--- /dev/null
+++ b/testing/demo/main.cpp
@@ -0,0 +1,29 @@
+#include "demo_run.hpp"
+
+#include <cstdlib>
+#include <exception>
+#include <iomanip>
+#include <iostream>
+
+int main() {
+    constexpr int measure_width = 48;
+    constexpr int value_width = 14;
+    try {
+        egretstile::demo::demo_run demo;
+        bool all_kept = true;
+        for (const egretstile::demo::demo_result& row : demo.run()) {
+            all_kept = all_kept && row.kept;
+            std::cout << std::left << std::setw(measure_width) << row.measure << std::right
+                      << std::setw(value_width) << row.value << "  ";
+            if (!row.promise.empty()) {
+                std::cout << row.promise << (row.kept ? ": kept" : ": BROKEN");
+            }
+            std::cout << '\n';
+        }
+        std::cout << (all_kept ? "All promises were kept.\n" : "A promise was broken.\n");
+        return all_kept ? EXIT_SUCCESS : EXIT_FAILURE;
+    } catch (const std::exception& error) {
+        std::cerr << "demo: " << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- a/testing/load/load_report.cpp
+++ b/testing/load/load_report.cpp
@@ -48,6 +48,11 @@
     return percentile_of(sorted, share);
 }
 
+std::map<std::string, std::uint64_t> load_report::states() const {
+    const std::lock_guard lock(mutex_);
+    return states_;
+}
+
 std::string load_report::to_json() const {
     Poco::JSON::Object object;
     const std::uint64_t answered = count(call_fate::answered);
--- a/testing/load/load_report.hpp
+++ b/testing/load/load_report.hpp
@@ -32,6 +32,9 @@
     /// Latency in microseconds of answered calls that `share` of them (0 to 1) do not exceed.
     std::int64_t percentile_us(double share) const;
 
+    /// Number of tasks in each state that was added.
+    std::map<std::string, std::uint64_t> states() const;
+
     std::string to_json() const;
 
 private:
