core: keep a detached task that is started again out of the next tick

The new start now has a grant term of its own. Shrinking is off: it took over nine minutes for this failure.

--- a/packages/core/source/task/shard_ledger.cpp
+++ b/packages/core/source/task/shard_ledger.cpp
@@ -356,6 +356,7 @@
         // The agent never got the start. It knows the run by key and attempt, should it have one.
         task.record.state = task_state::starting;
         task.answered = false;
+        task.granted_until = now_ + grant_wait();
         task.silent_since.reset();
         task.command_sent_at.reset();
         record_changed(task);
--- a/packages/core/tests/task/shard_ledger_property_test.cpp
+++ b/packages/core/tests/task/shard_ledger_property_test.cpp
@@ -34,7 +34,9 @@
 TEST_CASE("a shard keeps its guarantees under any interleaving of faults") {
     rc::detail::TestParams parameters;
     parameters.seed = testing::test_seed();
-    parameters.maxSuccess = 600;
+    parameters.maxSuccess = 5000;
+    // Shrinking a failure may take minutes; the seed and the faults are enough to repeat it.
+    parameters.disableShrinking = true;
     rc::detail::TestMetadata metadata;
     metadata.id = "shard guarantees";
     const rc::detail::TestResult result = rc::detail::checkTestable(
--- a/packages/core/tests/task/shard_ledger_runs_test.cpp
+++ b/packages/core/tests/task/shard_ledger_runs_test.cpp
@@ -250,6 +250,8 @@
     driver.commit();
     CHECK(driver.committed_state("a") == task_state::detached);
     driver.heartbeat("vm-1", {});
+    // A tick before the commit must not detach the task again.
+    driver.tick();
     driver.commit();
     const taken_commands taken = driver.commands();
     REQUIRE(taken.starts.size() == 1);
