core: keep runs that the new worker boot lists

Cause: a start that reached a restarted worker before the next status was reported as ended by the restart, while it executed. The owner would have queued it again. Without the worker's check of the boot id in the start call this needs only a restart between two statuses. A new boot now ends only the runs that it does not list, the rule by which the owner ends runs too. Conclusion: admission no longer depends on the boot check for this case. A start call that is sent again after the new boot was seen still does.

--- a/packages/core/include/egretstile/core/admission/admission_controller.hpp
+++ b/packages/core/include/egretstile/core/admission/admission_controller.hpp
@@ -100,8 +100,9 @@
     /// An admitted run that is not listed was not started only if the status call was sent after
     /// the start's `start_before`; before that the start call may still arrive.
     ///
-    /// A new boot id ends the runs of the earlier boot as `lease_expired`; they stay reported until
-    /// acknowledged, so that a repeated start is not refused as one that never ran.
+    /// A new boot id ends the runs that are not listed as `lease_expired`; they stay reported until
+    /// acknowledged, so that a repeated start is not refused as one that never ran. A listed one
+    /// goes on: its start reached the new worker.
     ///
     /// A status is ignored when it was sent before the last one or more than a grant term ago. When
     /// the worker has seen a later agent, nothing more is admitted.
--- a/packages/core/include/egretstile/core/admission/run_table.hpp
+++ b/packages/core/include/egretstile/core/admission/run_table.hpp
@@ -38,8 +38,8 @@
     /// Takes the complete list of a status call sent at `sent_at`.
     void observe(const std::vector<worker_run>& listed, std::uint64_t first_heartbeat,
                  boot_time sent_at, boot_time now);
-    /// Ends all runs: none of them is on the new worker.
-    void worker_restarted(boot_time now);
+    /// Ends the runs that the new worker does not list.
+    void worker_restarted(const std::vector<worker_run>& listed, boot_time now);
     /// Retires what is finished and forgets what was retired a grant term ago.
     void retire(boot_time now);
 
--- a/packages/core/source/admission/admission_controller.cpp
+++ b/packages/core/source/admission/admission_controller.cpp
@@ -36,7 +36,7 @@
         return;
     }
     if (!worker_boot_.empty() && worker_boot_ != status.boot) {
-        runs_.worker_restarted(now);
+        runs_.worker_restarted(status.runs, now);
         first_heartbeat_of_boot_ = heartbeats_.next_sequence();
     }
     worker_boot_ = status.boot;
--- a/packages/core/source/admission/run_table.cpp
+++ b/packages/core/source/admission/run_table.cpp
@@ -4,6 +4,18 @@
 
 namespace egretstile {
 
+namespace {
+
+std::set<task_run> names_of(const std::vector<worker_run>& listed) {
+    std::set<task_run> names;
+    for (const worker_run& seen : listed) {
+        names.insert(seen.run);
+    }
+    return names;
+}
+
+} // namespace
+
 agent_run* run_table::find(const task_run& run) {
     const auto found = runs_.find(run);
     return found == runs_.end() ? nullptr : &found->second;
@@ -31,9 +43,8 @@
 
 void run_table::observe(const std::vector<worker_run>& listed, std::uint64_t first_heartbeat,
                         boot_time sent_at, boot_time now) {
-    std::set<task_run> names;
+    const std::set<task_run> names = names_of(listed);
     for (const worker_run& seen : listed) {
-        names.insert(seen.run);
         const auto retired = retired_.find(seen.run);
         const bool outdated = retired != retired_.end() && sent_at <= retired->second.retired_at;
         if (agent_run* const known = find(seen.run)) {
@@ -50,9 +61,12 @@
     retire(now);
 }
 
-void run_table::worker_restarted(boot_time now) {
+void run_table::worker_restarted(const std::vector<worker_run>& listed, boot_time now) {
+    const std::set<task_run> names = names_of(listed);
     for (auto& [name, run] : runs_) {
-        run.lost(now);
+        if (!names.contains(name)) {
+            run.lost(now);
+        }
     }
 }
 
--- a/packages/core/tests/admission/admission_controller_test.cpp
+++ b/packages/core/tests/admission/admission_controller_test.cpp
@@ -527,6 +527,20 @@
     CHECK(vm.only_phase() == run_phase::lease_expired);
 }
 
+TEST_CASE("a run that started on the new boot before it was seen is not reported as ended") {
+    admission_fixture vm;
+    vm.make_ready();
+    vm.run("a");
+    vm.run("b");
+    vm.worker.boot = "boot-2";
+    vm.worker.runs.erase(vm.worker.runs.begin());
+    vm.observe();
+    REQUIRE(vm.reports().size() == 2);
+    CHECK(vm.reports()[0].phase == run_phase::lease_expired);
+    CHECK(vm.reports()[1].phase == run_phase::running);
+    CHECK(vm.agent.reserved() == resources{1000, 1000, 0});
+}
+
 TEST_CASE("an agent that a later one replaced admits nothing") {
     admission_fixture vm;
     vm.make_ready();
--- a/packages/core/tests/admission/model_owners.cpp
+++ b/packages/core/tests/admission/model_owners.cpp
@@ -169,8 +169,9 @@
             continue;
         }
         const task_run run = current(task).run;
-        const bool other_boot = state.boot != heartbeat.boot;
-        if (other_boot || (heartbeat.incarnation > state.incarnation && !lists(heartbeat, run))) {
+        const bool later =
+            state.boot != heartbeat.boot || heartbeat.incarnation > state.incarnation;
+        if (later && !lists(heartbeat, run)) {
             end(run);
         }
     }
