--- a/packages/cli/source/command/run.cpp
+++ b/packages/cli/source/command/run.cpp
@@ -32,14 +32,16 @@
 }
 
 std::string submit_body(const task_spec& task) {
+    Poco::JSON::Object need;
+    need.set("cpu_millicores", task.need.cpu_millicores);
+    need.set("memory_mb", task.need.memory_mb);
+    need.set("accelerators", task.need.accelerators);
     Poco::JSON::Object object;
     object.set("key", task.key);
     object.set("kind", std::string(name_of(task_kind_names, task.kind)));
     object.set("priority", std::string(name_of(task_priority_names, task.priority)));
     object.set("team", task.team);
-    object.set("cpu_millicores", task.need.cpu_millicores);
-    object.set("memory_mb", task.need.memory_mb);
-    object.set("accelerators", task.need.accelerators);
+    object.set("need", need);
     object.set("idempotent", task.idempotent);
     object.set("declared_run_time_ms", static_cast<Poco::Int64>(task.declared_run_time.count()));
     object.set("payload", task.payload);
--- a/packages/cli/tests/command/run_test.cpp
+++ b/packages/cli/tests/command/run_test.cpp
@@ -99,8 +99,8 @@
     CHECK(line.run({"submit", "k", "--kind", "notice", "--priority", "urgent", "--team", "t",
                     "--cpu-millicores", "1", "--memory-mb", "2", "--accelerators", "3",
                     "--run-time-ms", "4", "--idempotent", "--payload", "a b"}) == exit_code::done);
-    CHECK(body == R"({"accelerators":3,"cpu_millicores":1,"declared_run_time_ms":4,)"
-                  R"("idempotent":true,"key":"k","kind":"notice","memory_mb":2,)"
+    CHECK(body == R"({"declared_run_time_ms":4,"idempotent":true,"key":"k","kind":"notice",)"
+                  R"("need":{"accelerators":3,"cpu_millicores":1,"memory_mb":2},)"
                   R"("payload":"a b","priority":"urgent","team":"t"})");
 }
 
