--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -2,6 +2,8 @@
 
 #include "telemetry/log.hpp"
 
+#include <egretstile/core/plan/occurrence.hpp>
+
 #include <cstdint>
 #include <limits>
 #include <utility>
@@ -148,7 +150,10 @@
     table.number("max_tasks", "tasks", target.max_tasks, 1, 1000000,
                  "Tasks in a shard's record, final ones included; above it submissions are "
                  "refused.");
-    table.duration("final_retention_ms", target.final_retention, 0, 30 * day_ms,
+    // A shorter retention would forget a run of the plan while it is still looked back to, and run
+    // it again (guarantee 7).
+    table.duration("final_retention_ms", target.final_retention, occurrence_lookback.count(),
+                   30 * day_ms,
                    "Final tasks are kept this long for duplicates of their submission.");
     table.duration("resend_after_ms", target.resend_after, 10, minute_ms,
                    "An unanswered start or stop is sent again after this time.");
--- a/packages/daemon/tests/settings/settings_loader_test.cpp
+++ b/packages/daemon/tests/settings/settings_loader_test.cpp
@@ -124,6 +124,15 @@
     CHECK(errors_of_agent(agent_minimum + "[terms]\nstart_before_bound_ms = 4001\n").size() == 1);
 }
 
+TEST_CASE("a retention that would let a daily notice run twice is refused") {
+    const settings_folder folder(entry_minimum + "[ledger]\nfinal_retention_ms = 3600000\n");
+    const std::variant<entry_settings, std::vector<settings_error>> result =
+        load_entry_settings(folder.path());
+    REQUIRE(std::holds_alternative<std::vector<settings_error>>(result));
+    CHECK(std::get<std::vector<settings_error>>(result).at(0).setting ==
+          "ledger.final_retention_ms");
+}
+
 TEST_CASE("a file that is missing or not TOML is an error with its line") {
     const std::variant<agent_settings, std::vector<settings_error>> missing =
         load_agent_settings("/nonexistent/settings.toml");
