settings: declare the routing and ledger limits added by their parts

Cause: routing and the ledger gained limits after the table of settings was written, so a settings file that set them was refused as unknown. Excluded: reading unknown keys silently; a mistyped key would then give a default. Conclusion: every field of the settings structs can be set again.

--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -140,6 +140,14 @@
     table.number("max_outstanding", "requests", target.max_outstanding, 1, 100000,
                  "Requests that one upstream may have from this entry, waiting ones included.");
     table.number("seed", "", target.seed, 0, no_limit, "Seed of random choices.");
+    table.number("max_waiting", "requests", target.max_waiting, 0, 1000000,
+                 "Requests of one service that wait for a usable upstream.");
+    table.duration("initial_hedge_delay_ms", target.initial_hedge_delay, 1, minute_ms,
+                   "Hedging delay until enough answer times are known.");
+    table.number("adaptive_choices", "upstreams", target.adaptive_choices, 1, 1000,
+                 "Upstreams that the adaptive policy compares for each decision.");
+    table.number("max_ejected_percent", "percent", target.max_ejected_percent, 0, 100,
+                 "Most of the ready upstreams of a service that are ejected at the same time.");
     table.set_prefix("");
 }
 
@@ -150,6 +158,8 @@
     table.number("max_tasks", "tasks", target.max_tasks, 1, 1000000,
                  "Tasks in a shard's record, final ones included; above it submissions are "
                  "refused.");
+    table.number("max_bytes", "bytes", target.max_bytes, 1000, 1000000,
+                 "Estimated size of a shard's record above which submissions are refused.");
     // A shorter retention would forget a run of the plan while it is still looked back to, and run
     // it again (guarantee 7).
     table.duration("final_retention_ms", target.final_retention, occurrence_lookback.count(),
