core: let renewals hide no status

Cause: a status that was requested before the end of a worker call is not taken, because it may not show what the call changed. Renewals counted too. When the agent renews and polls at the same time, each status was ignored, so a run whose resume was lost stayed suspended on the worker, and a lost run stayed reported as running. A renewal changes no phase and no longer counts. The runs are also walked once for each reply and not once for each granted shard. Excluded: the property test as the guard. Its recovery makes the calls one after another, so the two do not overlap; a unit test does it. Conclusion: the agent finds a suspended or lost run with the next status.

--- a/packages/core/include/egretstile/core/admission/admission_controller.hpp
+++ b/packages/core/include/egretstile/core/admission/admission_controller.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -171,7 +172,8 @@
     bool accept_epoch(shard_number shard, epoch_number epoch);
     bool has_conflicting_attempt(const task_run& run);
     void take_plan(const owner_reply& reply, boot_time sent_at);
-    void take_grant(const owner_reply& reply, shard_number shard, boot_time sent_at);
+    void take_answer(const owner_reply& reply, const std::set<shard_number>& granted_shards,
+                     boot_time sent_at);
 
     incarnation_number incarnation_;
     lease_terms terms_;
--- a/packages/core/include/egretstile/core/admission/agent_run.hpp
+++ b/packages/core/include/egretstile/core/admission/agent_run.hpp
@@ -65,6 +65,8 @@
                          const std::string& checkpoint, const lease_terms& terms, boot_time now);
 
 private:
+    /// Whether a status requested at `sent_at` may not show the last change of the phase.
+    bool may_predate_change(boot_time sent_at) const;
     std::optional<worker_action_kind> due_kind(const lease_terms& terms, boot_time now) const;
     void action_done(const worker_action& action, const std::string& checkpoint);
     void end(run_phase phase, const std::string& detail, boot_time now);
@@ -82,7 +84,7 @@
     bool acknowledged_{false};
     bool on_worker_{false};
     std::optional<worker_action_kind> in_flight_;
-    /// A status that was requested up to this time may not show the last change.
+    /// End of the last call or status that changed the phase.
     boot_time changed_at_{};
     boot_time retry_at_{};
 };
--- a/packages/core/source/admission/admission_controller.cpp
+++ b/packages/core/source/admission/admission_controller.cpp
@@ -93,11 +93,13 @@
         return;
     }
     take_plan(reply, *sent_at);
+    std::set<shard_number> granted_shards;
     for (const grant& granted : reply.grants) {
         if (accept_epoch(granted.shard, granted.epoch)) {
-            take_grant(reply, granted.shard, *sent_at);
+            granted_shards.insert(granted.shard);
         }
     }
+    take_answer(reply, granted_shards, *sent_at);
     runs_.retire(now);
 }
 
@@ -215,12 +217,13 @@
     vm_drained_ = reply.vm_drained;
 }
 
-void admission_controller::take_grant(const owner_reply& reply, shard_number shard,
-                                      boot_time sent_at) {
+void admission_controller::take_answer(const owner_reply& reply,
+                                       const std::set<shard_number>& granted_shards,
+                                       boot_time sent_at) {
     const std::set<task_run> stop(reply.stop.begin(), reply.stop.end());
     const std::set<task_run> acknowledged(reply.acknowledged.begin(), reply.acknowledged.end());
     for (auto& [name, run] : runs_.runs()) {
-        if (run.report().shard != shard || !run.listed_in(reply.sequence)) {
+        if (!granted_shards.contains(run.report().shard) || !run.listed_in(reply.sequence)) {
             continue;
         }
         if (acknowledged.contains(name)) {
--- a/packages/core/source/admission/agent_run.cpp
+++ b/packages/core/source/admission/agent_run.cpp
@@ -76,11 +76,11 @@
     }
     const bool starts = report_.phase == run_phase::starting;
     // Otherwise the status may have been made before the last call changed the run.
-    if (!starts && (in_flight_ || sent_at <= changed_at_)) {
+    if (!starts && may_predate_change(sent_at)) {
         return;
     }
     report_.phase = seen.phase == run_phase::suspended ? seen.phase : run_phase::running;
-    lease_until_ = seen.lease_until;
+    lease_until_ = std::max(lease_until_, seen.lease_until);
     keep_checkpoint(seen.checkpoint);
     if (starts) {
         changed_at_ = now;
@@ -96,7 +96,7 @@
         }
         return;
     }
-    if (in_flight_ || sent_at <= changed_at_) {
+    if (may_predate_change(sent_at)) {
         return;
     }
     on_worker_ = false;
@@ -130,7 +130,9 @@
         return;
     }
     in_flight_.reset();
-    changed_at_ = now;
+    if (action.kind != worker_action_kind::renew) {
+        changed_at_ = now;
+    }
     if (result == call_result::done) {
         action_done(action, checkpoint);
         return;
@@ -196,6 +198,13 @@
     }
 }
 
+bool agent_run::may_predate_change(boot_time sent_at) const {
+    // A renewal changes no phase. It often runs at the same time as a status call, and would hide
+    // what all these statuses show.
+    const bool changing = in_flight_ && in_flight_ != worker_action_kind::renew;
+    return changing || sent_at <= changed_at_;
+}
+
 void agent_run::end(run_phase phase, const std::string& detail, boot_time now) {
     report_.phase = phase;
     report_.detail = detail;
--- a/packages/core/tests/admission/admission_controller_test.cpp
+++ b/packages/core/tests/admission/admission_controller_test.cpp
@@ -651,6 +651,36 @@
     CHECK(vm.act_kinds() == kinds{worker_action_kind::suspend});
 }
 
+TEST_CASE("renewals at the time of each status do not hide that a run is suspended or gone") {
+    admission_fixture vm;
+    vm.make_ready();
+    vm.run("a");
+    vm.advance(milliseconds(4000));
+    vm.act();
+    vm.worker.runs[0].phase = run_phase::suspended;
+    vm.exchange();
+    CHECK(vm.act(call_result::unknown).at(0).kind == worker_action_kind::resume);
+    vm.advance(milliseconds(500));
+    vm.exchange();
+    const boot_time sent_at = vm.now;
+    const std::vector<worker_action> renewals = vm.agent.due_actions(vm.now);
+    REQUIRE(renewals.size() == 1);
+    CHECK(renewals[0].kind == worker_action_kind::renew);
+    vm.advance(milliseconds(1));
+    vm.agent.worker_observed(vm.worker, sent_at, vm.now);
+    CHECK(vm.only_phase() == run_phase::suspended);
+    vm.agent.action_finished(renewals[0], call_result::done, "", vm.now);
+    CHECK(vm.act_kinds() == kinds{worker_action_kind::resume});
+    vm.advance(milliseconds(500));
+    vm.exchange();
+    const boot_time next_sent_at = vm.now;
+    vm.advance(milliseconds(1));
+    CHECK(vm.act_kinds() == kinds{worker_action_kind::renew});
+    vm.worker.runs.clear();
+    vm.agent.worker_observed(vm.worker, next_sent_at, vm.now);
+    CHECK(vm.only_phase() == run_phase::lease_expired);
+}
+
 TEST_CASE("two attempts of one task do not run side by side") {
     admission_fixture vm;
     vm.make_ready();
