--- a/packages/core/tests/task/shard_ledger_test.cpp
+++ b/packages/core/tests/task/shard_ledger_test.cpp
@@ -198,6 +198,25 @@
     CHECK(successor.ledger.size() == 0);
 }
 
+TEST_CASE("a final task whose end has no date is kept for the retention from the first tick") {
+    ledger_limits limits;
+    limits.final_retention = milliseconds(60'000);
+    shard_record record{4, 2, "entry-a", {}};
+    task_record task;
+    task.spec.key = "a";
+    task.state = task_state::succeeded;
+    task.accepted_at_ms = 1;
+    record.tasks.push_back(task);
+    ledger_driver driver(record, limits);
+    driver.tick();
+    CHECK(driver.ledger.find("a")->finished_at_ms == driver.wall_ms());
+    CHECK(driver.commit() == 1);
+    driver.pass(milliseconds(59'000));
+    CHECK(driver.ledger.size() == 1);
+    driver.pass(milliseconds(2000));
+    CHECK(driver.ledger.size() == 0);
+}
+
 TEST_CASE("a parked task waits for an operator and is never dropped") {
     ledger_limits limits;
     limits.final_retention = milliseconds(1000);
