standins: test what faults put in on purpose did not fail

Of 22 faults put into a scratch copy, the tests missed six: a renewal that revives a lapsed lease, a watch that sleeps through a lapse or an outage, a renewal that shortens a lease, work done by a frozen VM, and an upstream without a connection limit. Each has a test now. A seventh was redundant code: the proxy's queue keeps its order without the maximum of due times, which is removed.

--- a/testing/standins/proxy/half_relay.cpp
+++ b/testing/standins/proxy/half_relay.cpp
@@ -83,11 +83,8 @@
 }
 
 void half_relay::enqueue(const std::string& chunk, std::chrono::milliseconds delay) {
-    clock::time_point due = clock::now() + delay;
-    if (!pending_.empty()) {
-        due = std::max(due, pending_.back().due);
-    }
-    pending_.push_back({due, chunk});
+    // Only the first chunk is looked at when it is due, so a shorter delay keeps the order.
+    pending_.push_back({clock::now() + delay, chunk});
     pending_bytes_ += chunk.size();
 }
 
--- a/testing/standins/tests/key_value_standin_test.cpp
+++ b/testing/standins/tests/key_value_standin_test.cpp
@@ -94,13 +94,25 @@
     const revision_number revision = kv.put("session/a", 0, lease);
     CHECK(std::holds_alternative<std::monostate>(kv.store.renew_lease(lease)));
     // The lapse itself wakes the watch.
-    const auto gone = kv.store.watch("session/a", revision, milliseconds(4000));
+    const auto begin = std::chrono::steady_clock::now();
+    const auto gone = kv.store.watch("session/a", revision, milliseconds(20000));
     CHECK(std::get<stored_value>(gone).revision == 0);
+    CHECK(std::chrono::steady_clock::now() - begin < milliseconds(10000));
     CHECK(failed_with(kv.store.renew_lease(lease), store_error::not_found));
     CHECK(
         failed_with(kv.store.compare_and_swap("session/a", 0, "v", lease), store_error::not_found));
 }
 
+// Guards against a renewal that revives a lease when no other call noticed its lapse.
+TEST_CASE("a renewal after the time to live finds no lease") {
+    key_value_fixture kv;
+    const auto lease = std::get<platform::lease_id>(kv.store.grant_lease(milliseconds(50)));
+    const auto granted = std::chrono::steady_clock::now();
+    REQUIRE(wait_until(
+        [&] { return std::chrono::steady_clock::now() > granted + milliseconds(60); }, timeout));
+    CHECK(failed_with(kv.store.renew_lease(lease), store_error::not_found));
+}
+
 // Guards against a lease that ends while its entry renews it, or that revocation leaves alive.
 TEST_CASE("renewals keep a lease, revocation and the admin call end it") {
     key_value_fixture kv;
@@ -138,6 +150,7 @@
     REQUIRE(
         wait_until([&] { return kv.stats().find("\"watch\":1") != std::string::npos; }, timeout));
     REQUIRE(kv.deployment.set_key_value_fault("mode=down"));
+    CHECK(watch.wait_for(timeout) == std::future_status::ready);
     CHECK(failed_with(watch.get(), store_error::unavailable));
     CHECK(failed_with(kv.store.compare_and_swap("key", 0, "value", {}), store_error::unavailable));
     REQUIRE(kv.deployment.set_key_value_fault("mode=none"));
--- a/testing/standins/tests/upstream_standin_test.cpp
+++ b/testing/standins/tests/upstream_standin_test.cpp
@@ -7,6 +7,7 @@
 #include <egretstile/platform/clock/boot_now.hpp>
 #include <egretstile/platform/worker/http_worker.hpp>
 
+#include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -71,6 +72,17 @@
     CHECK(count_of(deployment.events(), vm_event_kind::request_start) == 2);
 }
 
+// Guards against a system that opens more connections to an upstream than it takes.
+TEST_CASE("a request above the connections is refused and logged as overload") {
+    const cluster deployment(one_vm({"--connections", "2"}));
+    CHECK(serve(deployment, "id")->status == 200);
+    const Poco::Net::SocketAddress address("127.0.0.1", deployment.upstream_port(0));
+    const Poco::Net::StreamSocket first(address);
+    const Poco::Net::StreamSocket second(address);
+    CHECK(wait_until([&] { return serve(deployment, "id")->status == 503; }, timeout));
+    CHECK(count_of(deployment.events(), vm_event_kind::overload) >= 1);
+}
+
 // Guards against a stand-in on which batch work costs requests nothing.
 TEST_CASE("batch tasks slow requests") {
     const cluster deployment(one_vm({"--service-us", "10000", "--jitter-percent", "0"}));
--- a/testing/standins/tests/worker_standin_test.cpp
+++ b/testing/standins/tests/worker_standin_test.cpp
@@ -91,7 +91,10 @@
     REQUIRE(done(vm.worker.start(
         1, worker_fixture::start_of("renewed", "work_ms=60000", milliseconds(300)))));
     REQUIRE(done(vm.worker.renew(1, {{{"renewed", 1}, boot_now() + timeout}})));
+    // A renewal that was overtaken by a later one must not shorten the lease.
+    REQUIRE(done(vm.worker.renew(1, {{{"renewed", 1}, boot_now() + milliseconds(300)}})));
     CHECK(vm.reaches("short", run_phase::lease_expired));
+    CHECK(vm.listed("renewed").lease_until > boot_now() + milliseconds(1000));
     CHECK(vm.listed("renewed").phase == run_phase::running);
     CHECK(vm.last(vm_event_kind::end)->at == start.lease_until);
     CHECK(refused(vm.worker.resume(1, {"short", 1}, boot_now() + timeout)));
@@ -110,6 +113,18 @@
     CHECK(vm.listed("key").phase == run_phase::lease_expired);
 }
 
+// Guards against work that a stopped process claims to have done.
+TEST_CASE("a frozen VM does no work") {
+    worker_fixture vm;
+    REQUIRE(done(vm.worker.start(1, worker_fixture::start_of("key", "work_ms=1000"))));
+    vm.deployment.vm_process(0).freeze();
+    const boot_time frozen = boot_now();
+    REQUIRE(wait_until([&] { return boot_now() > frozen + milliseconds(1200); }, timeout));
+    vm.deployment.vm_process(0).resume();
+    CHECK(vm.listed("key").phase == run_phase::running);
+    CHECK(vm.reaches("key", run_phase::succeeded));
+}
+
 // Guards against a suspended run that the lease ends, or that starts again from the beginning.
 TEST_CASE("a suspended run keeps its progress and outlives its lease") {
     worker_fixture vm;
