--- /dev/null
+++ b/testing/bench/deployment/direct_load.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "load_report.hpp"
+#include "load_settings.hpp"
+
+namespace egretstile::bench {
+
+/// Sends the requests of `load::run_requests` straight to the upstreams, whose ports are
+/// `settings.ports`, at the same rate. Returns when all are answered or given up.
+void run_direct(const load::load_settings& settings, load::load_report& report);
+
+} // namespace egretstile::bench
--- /dev/null
+++ b/testing/bench/deployment/event_measures.cpp
@@ -0,0 +1,56 @@
+#include "event_measures.hpp"
+
+#include "vm_checks.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace egretstile::bench {
+
+namespace {
+
+bool contains(const time_window& window, boot_time at) {
+    return at >= window.begin && at < window.end;
+}
+
+} // namespace
+
+std::size_t ended_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                     const std::string& phase) {
+    const auto count =
+        std::count_if(events.begin(), events.end(), [&](const harness::vm_event& event) {
+            return event.kind == harness::vm_event_kind::end && event.phase == phase &&
+                   contains(window, event.at);
+        });
+    return static_cast<std::size_t>(count);
+}
+
+std::map<task_key, boot_time> first_starts(const std::vector<harness::vm_event>& events) {
+    std::map<task_key, boot_time> starts;
+    for (const harness::vm_event& event : events) {
+        if (event.kind == harness::vm_event_kind::start) {
+            starts.emplace(event.run.key, event.at);
+        }
+    }
+    return starts;
+}
+
+std::size_t starts_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                      const failure_domain_name& domain) {
+    std::vector<harness::vm_event> before_end;
+    std::copy_if(events.begin(), events.end(), std::back_inserter(before_end),
+                 [&](const harness::vm_event& event) { return event.at < window.end; });
+    return harness::starts_after(before_end, domain, window.begin).size();
+}
+
+double percentile(std::vector<double> samples, double share) {
+    if (samples.empty()) {
+        return 0;
+    }
+    std::sort(samples.begin(), samples.end());
+    const double rank = std::ceil(share * static_cast<double>(samples.size()));
+    return samples[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
+}
+
+} // namespace egretstile::bench
--- /dev/null
+++ b/testing/bench/deployment/event_measures.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "vm_event.hpp"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace egretstile::bench {
+
+/// Half-open: `begin` belongs to it, `end` does not.
+struct time_window {
+    boot_time begin;
+    boot_time end;
+};
+
+/// Runs that ended with `phase` in the window.
+std::size_t ended_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                     const std::string& phase);
+
+/// First start of each key.
+std::map<task_key, boot_time> first_starts(const std::vector<harness::vm_event>& events);
+
+/// Starts and resumes in `domain` within the window.
+std::size_t starts_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                      const failure_domain_name& domain);
+
+/// Nearest-rank percentile; zero when there are no samples.
+double percentile(std::vector<double> samples, double share);
+
+} // namespace egretstile::bench
--- /dev/null
+++ b/testing/bench/deployment/scenario.cpp
@@ -0,0 +1,49 @@
+#include "scenario.hpp"
+
+namespace egretstile::bench {
+
+double deployment::task_rate(double share, std::int64_t work_ms) const {
+    const double total =
+        static_cast<double>(vm_count) * static_cast<double>(capacity.cpu_millicores);
+    const double work_s = static_cast<double>(work_ms) / 1000.0;
+    return share * total / (static_cast<double>(task_cpu_millicores) * work_s);
+}
+
+std::vector<deployment> all_deployments() {
+    return {{"tuul",
+             {"ub-north", "ub-central", "ub-south"},
+             {64'000, 250'000, 0},
+             "reconciliation",
+             false,
+             8'000},
+            {"kibera",
+             {"nbo-westlands", "nbo-embakasi", "nbo-karen"},
+             {32'000, 125'000, 0},
+             "notice",
+             true,
+             4'000}};
+}
+
+std::vector<strategy> all_strategies() {
+    return {{"random", "random"},
+            {"least_reserved", "least_reserved"},
+            {"interference_aware", "adaptive"}};
+}
+
+harness::cluster_options cluster_options_of(const deployment& scene, const strategy& how) {
+    harness::cluster_options options;
+    options.entries = harness::spread_entries(entry_count, scene.domains);
+    options.vms = harness::spread_vms(vm_count, scene.domains);
+    for (harness::vm_options& vm : options.vms) {
+        vm.capacity = scene.capacity;
+        vm.arguments = {"--service", "lookup", "--service-us",  "5000",
+                        "--slots",   "8",      "--connections", "64"};
+    }
+    options.adjust_entry = [how](toml::table& settings) {
+        settings.insert_or_assign("placement", how.placement);
+        settings.insert_or_assign("routing", toml::table{{"policy", how.routing}});
+    };
+    return options;
+}
+
+} // namespace egretstile::bench
--- /dev/null
+++ b/testing/bench/deployment/scenario.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cluster_settings.hpp"
+#include "load_settings.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretstile::bench {
+
+/// A deployment at its size of today and the batch load that uses half of its processors.
+struct deployment {
+    std::string name;
+    std::vector<failure_domain_name> domains;
+    resources capacity;
+    std::string task_kind;
+    bool idempotent_tasks{false};
+    std::int64_t task_cpu_millicores{0};
+
+    failure_domain_name removed_domain() const { return domains.at(1); }
+
+    /// Submissions a second of tasks with this run time that use `share` of all processors.
+    double task_rate(double share, std::int64_t work_ms) const;
+};
+
+struct strategy {
+    std::string placement;
+    std::string routing;
+
+    std::string name() const { return placement + "/" + routing; }
+};
+
+inline constexpr std::size_t vm_count = 11;
+inline constexpr std::size_t entry_count = 3;
+
+std::vector<deployment> all_deployments();
+
+/// The least-reserved baseline comes before the last one, whose evictions are compared with it.
+std::vector<strategy> all_strategies();
+
+harness::cluster_options cluster_options_of(const deployment& scene, const strategy& how);
+
+} // namespace egretstile::bench
