bench: count batch runs without urgent tasks and use enough connections at half load

At half load 88 connections limited the caller: a latency above 10 ms made later calls late. Direct calls keep 88, one for each slot. Processor shares at half load are shown to find the cause of what the hops add.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,12 +1,15 @@
 #!/usr/bin/env bash
 # Builds, measures whole deployments and the decisions of the core, prints a table and writes
 # build/bench.csv. A missed bound is shown as MISSED; the exit code tells whether all was measured.
+# Usage: scripts/bench.sh [--deployment NAME] [--strategy PLACEMENT]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-scripts/build.sh >/dev/null
+scripts/install-packages.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build -j "${EGRETSTILE_JOBS:-10}" --target egretstile-bench egretstile_decision_bench >/dev/null
 csv=build/bench.csv
 result=0
-build/bin/egretstile-bench >"$csv" || result=1
+build/bin/egretstile-bench "$@" >"$csv" || result=1
 # The decision benchmark prints measure,strategy,value,unit,bound,met.
 build/bin/egretstile_decision_bench >build/bench-decisions.csv || result=1
 awk -F, -v OFS=, 'NR > 1 { print "decisions", $2, $1, $3, $4, ($5 == "" ? "" : "at most " $5), $6 }' \
--- a/testing/bench/deployment/deployment_run.cpp
+++ b/testing/bench/deployment/deployment_run.cpp
@@ -41,7 +41,10 @@
 constexpr std::int64_t long_work_ms = 2000;
 /// Half of the slots of all upstreams busy: 11 upstreams, 8 slots, 5 ms a request.
 constexpr double half_load_per_second = 8800;
-constexpr std::uint32_t half_load_threads = 88;
+/// Each connection carries one request at a time. Through the entries the number does not limit the
+/// rate at a latency below 29 ms; to one upstream there are no more connections than slots.
+constexpr std::uint32_t half_load_threads = load::most_threads;
+constexpr std::uint32_t half_load_direct_threads = 88;
 
 constexpr bound interference_bound{bound_kind::at_most, 1.25};
 constexpr bound throughput_bound{bound_kind::at_least, 0.9};
@@ -91,6 +94,7 @@
     measure_mixed();
     std::this_thread::sleep_for(drain_time);
     measure_batch_alone();
+    std::this_thread::sleep_for(drain_time);
     measure_domain_change();
     std::this_thread::sleep_for(drain_time);
     measure_hops();
@@ -113,10 +117,15 @@
     load::load_settings settings = lookup_load("hops", hop_time);
     settings.requests.rate = half_load_per_second;
     settings.requests.threads = half_load_threads;
+    const process_usage entries = cluster_.entry_usage();
+    const process_usage agents = cluster_.agent_usage();
     load::load_report through_entries;
     load::run_requests(settings, through_entries);
+    add("processor share of an entry at half load", entries.highest_processor_percent(), "%");
+    add("processor share of an agent at half load", agents.highest_processor_percent(), "%");
     settings.ports = cluster_.upstream_ports();
     settings.prefix = "direct";
+    settings.requests.threads = half_load_direct_threads;
     load::load_report direct;
     run_direct(settings, direct);
     add_latencies(through_entries, "at half load");
@@ -185,7 +194,6 @@
 
 void deployment_run::measure_domain_change() {
     std::future<void> batch_end = in_background([this] { run_batch("domain", domain_time); });
-    const boot_time begin = boot_now();
     std::this_thread::sleep_for(out_after);
     cluster_.set_domain(scene_.removed_domain(), "out");
     const boot_time out_at = boot_now();
@@ -195,7 +203,7 @@
     batch_end.get();
     const std::vector<harness::vm_event> events = cluster_.events();
     add("batch finished while the domain was out and back",
-        static_cast<double>(ended_in(events, {begin, boot_now()}, "succeeded")), "tasks");
+        static_cast<double>(succeeded_in(events, {out_at, boot_now()}, "domain")), "tasks");
     add("starts in the domain over 4 s after its removal",
         static_cast<double>(
             starts_in(events, {out_at + removal_bound, in_at}, scene_.removed_domain())),
@@ -231,7 +239,7 @@
         std::chrono::duration<double, std::ratio<60>>(steady.end - steady.begin).count();
     add("batch submissions not accepted (" + phase + ")",
         static_cast<double>(unanswered(short_report) + unanswered(long_report)), "tasks");
-    return static_cast<double>(ended_in(cluster_.events(), steady, "succeeded")) / minutes;
+    return static_cast<double>(succeeded_in(cluster_.events(), steady, phase)) / minutes;
 }
 
 void deployment_run::add_latencies(const load::load_report& report, const std::string& phase) {
--- a/testing/bench/deployment/event_measures.cpp
+++ b/testing/bench/deployment/event_measures.cpp
@@ -16,12 +16,12 @@
 
 } // namespace
 
-std::size_t ended_in(const std::vector<harness::vm_event>& events, const time_window& window,
-                     const std::string& phase) {
+std::size_t succeeded_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                         const std::string& prefix) {
     const auto count =
         std::count_if(events.begin(), events.end(), [&](const harness::vm_event& event) {
-            return event.kind == harness::vm_event_kind::end && event.phase == phase &&
-                   contains(window, event.at);
+            return event.kind == harness::vm_event_kind::end && event.phase == "succeeded" &&
+                   event.run.key.starts_with(prefix) && contains(window, event.at);
         });
     return static_cast<std::size_t>(count);
 }
--- a/testing/bench/deployment/event_measures.hpp
+++ b/testing/bench/deployment/event_measures.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace egretstile::bench {
@@ -14,9 +15,9 @@
     boot_time end;
 };
 
-/// Runs that ended with `phase` in the window.
-std::size_t ended_in(const std::vector<harness::vm_event>& events, const time_window& window,
-                     const std::string& phase);
+/// Runs that succeeded in the window and whose keys begin with `prefix`.
+std::size_t succeeded_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                         const std::string& prefix);
 
 /// First start of each key.
 std::map<task_key, boot_time> first_starts(const std::vector<harness::vm_event>& events);
