--- /dev/null
+++ b/testing/bench/deployment/event_measures.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "vm_event.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace egretstile::bench {
+
+/// Half-open: `begin` belongs to it, `end` does not.
+struct time_window {
+    boot_time begin;
+    boot_time end;
+};
+
+/// Runs that succeeded in the window and whose keys begin with `prefix`.
+std::size_t succeeded_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                         const std::string& prefix);
+
+/// First start of each key.
+std::map<task_key, boot_time> first_starts(const std::vector<harness::vm_event>& events);
+
+/// Starts and resumes in `domain` within the window.
+std::size_t starts_in(const std::vector<harness::vm_event>& events, const time_window& window,
+                      const failure_domain_name& domain);
+
+/// Nearest-rank percentile; zero when there are no samples.
+double percentile(std::vector<double> samples, double share);
+
+} // namespace egretstile::bench
