--- a/packages/daemon/source/entry/task_json.cpp
+++ b/packages/daemon/source/entry/task_json.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <type_traits>
 
 namespace egretstile::daemon {
 
@@ -68,15 +69,34 @@
     const std::string& error() const { return error_; }
 
 private:
+    /// POCO would convert a number or an array to text; a field must have its own type.
+    template <typename Value>
+    static bool has_type(const Poco::Dynamic::Var& value) {
+        if constexpr (std::is_same_v<Value, std::string>) {
+            return value.isString();
+        } else if constexpr (std::is_same_v<Value, bool>) {
+            return value.isBoolean();
+        } else {
+            return value.isInteger() && !value.isBoolean();
+        }
+    }
+
     template <typename Value>
     Value value(const std::string& name, const Value& fallback) {
         asked_.insert(name);
+        if (!object_->has(name)) {
+            return fallback;
+        }
+        const Poco::Dynamic::Var field = object_->get(name);
         try {
-            return object_->has(name) ? object_->getValue<Value>(name) : fallback;
+            if (has_type<Value>(field)) {
+                return field.convert<Value>();
+            }
         } catch (const Poco::Exception&) {
-            fail(name + " has the wrong type");
-            return fallback;
+            // A number that does not fit; reported below.
         }
+        fail(name + " has the wrong type or is out of range");
+        return fallback;
     }
 
     Poco::JSON::Object::Ptr object_;
