--- a/packages/daemon/source/agent/agent_process.cpp
+++ b/packages/daemon/source/agent/agent_process.cpp
@@ -110,6 +110,7 @@
                   " announce=" + std::to_string(announcements_.port()));
     loop_.run();
     announcements_.stop();
+    worker_.abort();
 }
 
 void agent_process::request_stop() {
