daemon: refuse bodies without a verified end, and requests after a pause

Cause 1: the HTTP service read chunked bodies through POCO, which does not tell a broken chunk from the end of the body. A request whose body was cut off was run with the part that had arrived and answered 200 (seen: "served 15" of a chunk of 64 bytes), and the rest of a refused body was read as the next request of the connection. Requests with Transfer-Encoding are now refused with 411, a refusal closes the connection, and a request without a length has no body, as RFC 9112 says. A path that is no URI closed the connection without an answer; it is now refused with 400 and the outcome not-run.

Cause 2: an object or number given as a task's key, team or payload was converted to text and accepted. It is refused now.

Cause 3: a frozen agent that went on began the requests that waited in its sockets before it had read whether its VM was drained (seen: 6 of 1350 requests more than 4 s after the drain). After a pause of 2 s the agent offers no upstream for 1.5 s, so these requests are refused and run elsewhere.

Excluded: deeply nested JSON; the parser limits the depth itself. A length that is no number still closes the connection without an answer, because POCO does not hand such a request over.

--- a/packages/daemon/source/agent/agent_process.cpp
+++ b/packages/daemon/source/agent/agent_process.cpp
@@ -20,6 +20,12 @@
 constexpr std::size_t upstream_threads = 64;
 /// A stopping agent still sends heartbeats for this long, so that every entry learns of it.
 constexpr milliseconds stop_notice{1000};
+/// A pause of the process after which its knowledge of drains and leaves may be out of date. Well
+/// below the bound of 4 s for draining VMs, and above the stalls of a busy machine.
+constexpr milliseconds longest_pause{2000};
+/// Time after such a pause for the upstream's next announcement and the answers to the next
+/// heartbeats (500 ms each), and for connecting anew before that.
+constexpr milliseconds confirmation_time{1500};
 
 incarnation_number make_incarnation() {
     return static_cast<incarnation_number>(boot_now().time_since_epoch().count());
@@ -101,6 +107,7 @@
 }
 
 void agent_process::run() {
+    last_active_ = boot_now();
     start_timers();
     write_ports_file();
     write_log(log_part::process, log_level::info, "Started an agent.",
@@ -236,6 +243,7 @@
 
 void agent_process::take_request(frame_connection& connection, wire::serve_request&& message) {
     const boot_time now = boot_now();
+    notice_pause(now);
     const request_id id{connection.peer().name, message.request_id};
     const boot_time deadline =
         now + milliseconds(static_cast<milliseconds::rep>(message.deadline_ms));
@@ -296,7 +304,7 @@
     heartbeat.reserved = admission_.reserved();
     heartbeat.plan_revision = admission_.plan().revision();
     heartbeat.draining = admission_.draining() || !worker_caller_.reachable();
-    heartbeat.upstream.state = stopping_ ? wire::upstream_state::leaving : upstream_.state(now);
+    heartbeat.upstream.state = offered_state(now);
     if (upstream_.last()) {
         heartbeat.upstream.service = upstream_.last()->service;
         heartbeat.upstream.slots = upstream_.last()->slots;
@@ -319,6 +327,7 @@
 
 void agent_process::advance() {
     const boot_time now = boot_now();
+    notice_pause(now);
     links_.maintain(now);
     worker_caller_.make_due_calls(now);
     update_gate(now);
@@ -326,9 +335,25 @@
     continue_stop();
 }
 
+/// Requests wait in the sockets of a frozen process; when it goes on, it must not begin them before
+/// it has heard whether its VM was drained or its upstream left meanwhile.
+void agent_process::notice_pause(boot_time now) {
+    const bool paused = now - last_active_ > longest_pause;
+    last_active_ = now;
+    if (paused) {
+        confirm_until_ = now + confirmation_time;
+        write_log(log_part::admission, log_level::warning, "The process was paused.");
+        update_gate(now);
+    }
+}
+
+wire::upstream_state agent_process::offered_state(boot_time now) const {
+    return stopping_ || now < confirm_until_ ? wire::upstream_state::leaving : upstream_.state(now);
+}
+
 void agent_process::update_gate(boot_time now) {
     const wire::upstream_state state =
-        stopping_ || admission_.draining() ? wire::upstream_state::leaving : upstream_.state(now);
+        admission_.draining() ? wire::upstream_state::leaving : offered_state(now);
     const std::size_t slots = upstream_.last() ? upstream_.last()->slots : 0;
     carry_out(gate_.set_upstream(to_presence(state), std::min(slots, upstream_threads), now));
 }
@@ -358,6 +383,7 @@
 }
 
 void agent_process::upstream_answered(const request_id& id, const upstream_answer& answer) {
+    notice_pause(boot_now());
     wire::serve_reply reply;
     reply.request_id = id.number;
     reply.outcome = answer.outcome;
--- a/packages/daemon/source/agent/agent_process.hpp
+++ b/packages/daemon/source/agent/agent_process.hpp
@@ -58,6 +58,8 @@
     wire::heartbeat make_heartbeat(boot_time now) const;
     void advance();
 
+    void notice_pause(boot_time now);
+    wire::upstream_state offered_state(boot_time now) const;
     void update_gate(boot_time now);
     void carry_out(const std::vector<gate_step>& steps);
     void call_upstream(const request_id& id);
@@ -84,6 +86,10 @@
     bool stopping_{false};
     boot_time stop_deadline_{};
     boot_time stop_not_before_{};
+    /// When the event loop was last known to run.
+    boot_time last_active_{};
+    /// Until then the agent offers no upstream, see `notice_pause`.
+    boot_time confirm_until_{};
 };
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/entry/task_json.cpp
+++ b/packages/daemon/source/entry/task_json.cpp
@@ -22,6 +22,11 @@
         : object_(std::move(object)) {}
 
     std::string text(const std::string& name, const std::string& fallback) {
+        // POCO would convert an object or a number to text.
+        if (object_->has(name) && !object_->get(name).isString()) {
+            fail(name + " has the wrong type");
+            return fallback;
+        }
         return value<std::string>(name, fallback);
     }
 
--- a/packages/daemon/source/net/http_service.cpp
+++ b/packages/daemon/source/net/http_service.cpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <ostream>
 #include <utility>
+#include <variant>
 
 namespace egretstile::daemon {
 
@@ -35,6 +36,11 @@
 /// Body of the request; nothing when it is longer than `limit` or shorter than announced.
 std::optional<std::string> read_body(Poco::Net::HTTPServerRequest& request, std::size_t limit) {
     std::string body;
+    if (!request.hasContentLength()) {
+        // A request without a length has no body (RFC 9112, 6.3); POCO would read to the end of the
+        // connection.
+        return body;
+    }
     std::array<char, 8192> chunk{};
     std::istream& stream = request.stream();
     while (stream.good()) {
@@ -44,8 +50,7 @@
             return std::nullopt;
         }
     }
-    const bool whole = !request.hasContentLength() ||
-                       static_cast<std::streamsize>(body.size()) == request.getContentLength();
+    const bool whole = static_cast<std::streamsize>(body.size()) == request.getContentLength();
     return whole ? std::optional(std::move(body)) : std::nullopt;
 }
 
@@ -64,6 +69,28 @@
     return request;
 }
 
+http_answer refusal_answer(int status, const std::string& sentence) {
+    return {status, "text/plain", {{"Egretstile-Outcome", "not-run"}}, sentence + "\n"};
+}
+
+/// The whole request, or the refusal of one that cannot be read.
+std::variant<http_request, http_answer> read_request(Poco::Net::HTTPServerRequest& source,
+                                                     std::size_t limit) {
+    if (source.has("Transfer-Encoding")) {
+        // POCO does not tell a chunked body that broke off from a whole one.
+        return refusal_answer(411, "a body needs a Content-Length");
+    }
+    try {
+        std::optional<std::string> body = read_body(source, limit);
+        if (!body) {
+            return refusal_answer(400, "bad body length");
+        }
+        return make_request(source, std::move(*body));
+    } catch (const Poco::SyntaxException&) {
+        return refusal_answer(400, "bad path or length");
+    }
+}
+
 struct shared_state {
     http_service::handler function;
     std::size_t max_body_bytes{0};
@@ -80,7 +107,7 @@
                        Poco::Net::HTTPServerResponse& response) override {
         ++state_.active;
         try {
-            write_answer(response, make_answer(request));
+            answer(request, response);
         } catch (const Poco::Exception&) {
             // The client closed the connection before it had the whole answer.
         }
@@ -88,12 +115,16 @@
     }
 
 private:
-    http_answer make_answer(Poco::Net::HTTPServerRequest& request) {
-        std::optional<std::string> body = read_body(request, state_.max_body_bytes);
-        if (!body) {
-            return {400, "text/plain", {{"Egretstile-Outcome", "not-run"}}, "bad body length\n"};
+    void answer(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) {
+        const std::variant<http_request, http_answer> read =
+            read_request(request, state_.max_body_bytes);
+        if (const http_answer* const refused = std::get_if<http_answer>(&read)) {
+            // What is left of the body would be taken for the next request.
+            response.setKeepAlive(false);
+            write_answer(response, *refused);
+            return;
         }
-        return state_.function(make_request(request, std::move(*body)));
+        write_answer(response, state_.function(std::get<http_request>(read)));
     }
 
     void write_answer(Poco::Net::HTTPServerResponse& response, const http_answer& answer) {
--- a/packages/daemon/source/net/http_service.hpp
+++ b/packages/daemon/source/net/http_service.hpp
@@ -36,7 +36,8 @@
 };
 
 /// Serves HTTP with a thread for each connection; `handler` runs on these threads and must be
-/// thread-safe. A request whose body is shorter than its length is not handed over.
+/// thread-safe. A request whose body is longer than the limit, shorter than its length or chunked
+/// is refused with the outcome `not-run` and is not handed over.
 class http_service {
 public:
     using handler = std::function<http_answer(const http_request&)>;
