--- a/testing/harness/cluster.cpp
+++ b/testing/harness/cluster.cpp
@@ -212,6 +212,10 @@
     return entries_.at(entry).ports.operators;
 }
 
+std::uint16_t cluster::peers_port(std::size_t entry) const {
+    return entries_.at(entry).ports.peers;
+}
+
 std::uint16_t cluster::worker_port(std::size_t vm) const {
     return vms_.at(vm).worker_port;
 }
--- a/testing/harness/cluster.hpp
+++ b/testing/harness/cluster.hpp
@@ -32,6 +32,8 @@
 
     std::uint16_t callers_port(std::size_t entry) const;
     std::uint16_t operators_port(std::size_t entry) const;
+    /// Port on which the entry itself listens to agents and other entries, not the proxy's.
+    std::uint16_t peers_port(std::size_t entry) const;
     /// Worker port of the VM stand-in; its admin calls are there, too.
     std::uint16_t worker_port(std::size_t vm) const;
     std::uint16_t upstream_port(std::size_t vm) const;
