net: report a failed write after send has returned

Cause: a write error inside frame_connection::send called on_closed at once. For an entry that is request_service::connection_lost, which may finish and erase the very request whose attempt was being sent; the sender then wrote to the erased request. Effect: under the random faults of the not-run test an entry ended with "corrupted size vs. prev_size", and its callers got connection refused. The callback is now posted to the event loop.

Excluded: the proxy and the callers' connections; runs whose entries lived had no call without a reply. The cause was found by reading, not with a memory checker.

The test did not see this before: it now requires a reply of some kind to each call and that both entries still run.

--- a/packages/daemon/source/net/frame_connection.cpp
+++ b/packages/daemon/source/net/frame_connection.cpp
@@ -176,7 +176,7 @@
         } catch (const Poco::TimeoutException&) {
             written = 0;
         } catch (const Poco::Exception&) {
-            fail();
+            fail_later();
             return;
         }
         if (written <= 0) {
@@ -202,6 +202,18 @@
     loop_.change_mode(socket_, wants_write ? read | Poco::Net::PollSet::POLL_WRITE : read);
 }
 
+/// The caller of `send` may hold references into the state that `on_closed` changes, so the
+/// callback must not run inside `send`.
+void frame_connection::fail_later() {
+    close();
+    const std::weak_ptr<frame_connection> self = weak_from_this();
+    loop_.post([self] {
+        if (const std::shared_ptr<frame_connection> connection = self.lock()) {
+            connection->handlers_.on_closed(*connection);
+        }
+    });
+}
+
 void frame_connection::fail() {
     if (closed_) {
         return;
--- a/packages/daemon/source/net/frame_connection.hpp
+++ b/packages/daemon/source/net/frame_connection.hpp
@@ -70,6 +70,7 @@
     void write_pending();
     void update_mode();
     void fail();
+    void fail_later();
 
     event_loop& loop_;
     Poco::Net::StreamSocket socket_;
--- a/testing/integration/requests/not_run_test.cpp
+++ b/testing/integration/requests/not_run_test.cpp
@@ -154,6 +154,10 @@
     CHECK(begun_again(once_calls, begun) == none);
     CHECK(count_fate(once_calls, call_fate::wrong) == 0);
     CHECK(count_fate(repeatable_calls, call_fate::wrong) == 0);
+    // No entry was restarted or cut from its callers, so each call has an answer of some kind.
+    CHECK(count_without_reply(once_calls) + count_without_reply(repeatable_calls) == 0);
+    CHECK(cluster.entry_process(0).running());
+    CHECK(cluster.entry_process(1).running());
     // The faults were on the path, and the system served beside them.
     CHECK_FALSE(begun_again(repeatable_calls, begun).empty());
     CHECK(count_fate(once_calls, call_fate::answered) > once_calls.size() / 3);
