entry: keep agents' connections when the session changes

Cause: closing the connections at a new session (the earlier change) ended requests in progress, which a lost session must not do.

--- a/packages/daemon/source/entry/entry_process.cpp
+++ b/packages/daemon/source/entry/entry_process.cpp
@@ -228,7 +228,7 @@
         settings_.advertised.port == 0 ? peer_server_.port() : settings_.advertised.port;
     tasks_.session_opened(id, sent_at);
     directory_.join({id, advertised_host(settings_), port});
-    peer_server_.change_hello({wire::peer_role::entry, id, 0});
+    peer_server_.set_hello({wire::peer_role::entry, id, 0});
     update_ready();
 }
 
--- a/packages/daemon/source/net/frame_server.cpp
+++ b/packages/daemon/source/net/frame_server.cpp
@@ -38,14 +38,8 @@
     }
 }
 
-void frame_server::change_hello(wire::hello own_hello) {
+void frame_server::set_hello(wire::hello own_hello) {
     own_hello_ = std::move(own_hello);
-    const std::set<std::shared_ptr<frame_connection>> closing = connections_;
-    for (const std::shared_ptr<frame_connection>& connection : closing) {
-        connection->close();
-        handlers_.on_closed(*connection);
-        remove(connection);
-    }
 }
 
 std::uint64_t frame_server::bytes_received() const {
--- a/packages/daemon/source/net/frame_server.hpp
+++ b/packages/daemon/source/net/frame_server.hpp
@@ -31,9 +31,8 @@
     std::uint64_t bytes_received() const;
     std::uint64_t bytes_sent() const;
 
-    /// Says hello with this name from now on. Closes all connections, because their peers know this
-    /// process by its former name.
-    void change_hello(wire::hello own_hello);
+    /// Says hello with this name on connections accepted from now on.
+    void set_hello(wire::hello own_hello);
 
 private:
     void accept_waiting();
