agent: log heartbeats and replies under the same entry name

Cause: the agent logged its heartbeats under the name that the entry gave when the connection was made, and looked a reply up under the entry's present session. When an entry opened a new session on an open connection, the agent ignored every later reply of it: grants, plan confirmations and acknowledgements of that entry were lost, and suspended tasks stayed suspended. An outage of the key-value service, a freeze or a cut of an entry longer than the session's life did it. Excluded: closing the connections at a new session, which would break requests in progress. Conclusion: sequence numbers are unique in the agent and a reply comes over the connection of its heartbeat, so the connection's name identifies it; fencing rests on the epoch as before.

--- a/packages/daemon/source/agent/agent_process.cpp
+++ b/packages/daemon/source/agent/agent_process.cpp
@@ -42,9 +42,12 @@
     return id.entry + "/" + std::to_string(id.number);
 }
 
-owner_reply to_owner_reply(const wire::heartbeat_reply& reply) {
+/// `entry` is the name under which the heartbeats of the connection are logged. The reply itself
+/// names the entry's present session, which is another one when the entry opened a new session
+/// since the connection was made.
+owner_reply to_owner_reply(const entry_id& entry, const wire::heartbeat_reply& reply) {
     owner_reply result;
-    result.entry = reply.entry;
+    result.entry = entry;
     result.sequence = reply.sequence;
     result.plan_known = reply.plan_known;
     result.plan_revision = reply.plan_revision;
@@ -189,7 +192,7 @@
                                const wire::heartbeat_reply& reply) {
     const boot_time now = boot_now();
     links_.answered(connection, reply.entries, now);
-    admission_.reply_received(to_owner_reply(reply), now);
+    admission_.reply_received(to_owner_reply(connection.peer().name, reply), now);
     worker_caller_.make_due_calls(now);
 }
 
