integration: test that no task starts in a removed failure domain

Cause: the bound of 4 s rests on clocks of three processes, any of which may be frozen or restarted. A stream of short tasks keeps a start due on every VM; starts in the other domains show that the silence of the removed one is not that of the whole system.

--- /dev/null
+++ b/testing/integration/tasks/domain_out_test.cpp
@@ -0,0 +1,139 @@
+#include "task_calls.hpp"
+#include "vm_checks.hpp"
+#include "wait_until.hpp"
+
+#include <egretstile/platform/clock/boot_now.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace egretstile::harness {
+namespace {
+
+constexpr std::size_t entries = 2;
+constexpr std::size_t vms = 3;
+constexpr std::int64_t vm_size = 4000;
+/// Guarantee 4: no start later than this after the removal was accepted.
+constexpr milliseconds removal_bound{4000};
+/// How long each test looks for starts after the bound.
+constexpr milliseconds watched_after_bound{3000};
+constexpr std::size_t removed = 1;
+const failure_domain_name removed_domain = "domain-1";
+
+/// Submits short tasks at one entry until it is destroyed, more than the VMs can run, so that a
+/// start is due on every VM all the time.
+class task_stream {
+public:
+    task_stream(const cluster& cluster, std::size_t entry)
+        : thread_([this, &cluster, entry] { run(cluster, entry); }) {}
+
+    task_stream(const task_stream&) = delete;
+    task_stream& operator=(const task_stream&) = delete;
+    task_stream(task_stream&&) = delete;
+    task_stream& operator=(task_stream&&) = delete;
+
+    ~task_stream() {
+        stopped_ = true;
+        thread_.join();
+    }
+
+private:
+    void run(const cluster& cluster, std::size_t entry) {
+        submission task;
+        task.cpu_millicores = 1000;
+        task.payload = "work_ms=150";
+        for (std::size_t i = 0; !stopped_; ++i) {
+            task.key = "stream-" + std::to_string(i);
+            submit(cluster, entry, task);
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    }
+
+    std::atomic<bool> stopped_{false};
+    std::thread thread_;
+};
+
+bool set_domain(const cluster& cluster, std::size_t entry, const std::string& state) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/domains/" + removed_domain + "/" + state;
+    const std::optional<http_reply> reply = cluster.operator_call(entry, request);
+    return reply && reply->status == 200;
+}
+
+bool wait_start_in_domain(const cluster& cluster, boot_time after) {
+    return wait_until(
+        [&] { return !starts_after(cluster.events(), removed_domain, after).empty(); },
+        milliseconds(20000));
+}
+
+std::size_t starts_elsewhere(const std::vector<vm_event>& events, boot_time after) {
+    return static_cast<std::size_t>(
+        std::count_if(events.begin(), events.end(), [after](const vm_event& event) {
+            return event.kind == vm_event_kind::start && event.domain != removed_domain &&
+                   event.at > after;
+        }));
+}
+
+/// Judges the time after `accepted`, which has passed the bound, then takes the domain back in.
+void check_removed(const cluster& cluster, boot_time accepted) {
+    REQUIRE(wait_past(accepted + removal_bound + watched_after_bound));
+    const std::vector<vm_event> events = cluster.events();
+    CHECK(starts_after(events, removed_domain, accepted + removal_bound) == no_violations);
+    // Without starts in the other domains the silence of this one would prove nothing.
+    CHECK(starts_elsewhere(events, accepted + removal_bound) > 0);
+    const boot_time returned = boot_now();
+    REQUIRE(set_domain(cluster, 0, "in"));
+    CHECK(wait_start_in_domain(cluster, returned));
+}
+
+// Guards against a frozen entry that starts tasks by the plan it knew when it is resumed.
+TEST_CASE("no task starts in a removed domain when an entry was frozen") {
+    cluster cluster(task_cluster_options(entries, vms, vm_size));
+    REQUIRE(wait_ready(cluster, entries, vms));
+    const task_stream first(cluster, 0);
+    const task_stream second(cluster, 1);
+    REQUIRE(wait_start_in_domain(cluster, boot_now()));
+    cluster.entry_process(1).freeze();
+    REQUIRE(set_domain(cluster, 0, "out"));
+    const boot_time accepted = boot_now();
+    REQUIRE(wait_past(accepted + removal_bound));
+    cluster.entry_process(1).resume();
+    check_removed(cluster, accepted);
+}
+
+// Guards against a frozen agent that carries out starts it had already received or admitted.
+TEST_CASE("no task starts in a removed domain when its agent was frozen") {
+    cluster cluster(task_cluster_options(entries, vms, vm_size));
+    REQUIRE(wait_ready(cluster, entries, vms));
+    const task_stream first(cluster, 0);
+    const task_stream second(cluster, 1);
+    REQUIRE(wait_start_in_domain(cluster, boot_now()));
+    cluster.agent_process(removed).freeze();
+    REQUIRE(set_domain(cluster, 0, "out"));
+    const boot_time accepted = boot_now();
+    REQUIRE(wait_past(accepted + removal_bound));
+    cluster.agent_process(removed).resume();
+    check_removed(cluster, accepted);
+}
+
+// Guards against a restarted agent that starts tasks before it knows the plan.
+TEST_CASE("no task starts in a removed domain when its agent was restarted") {
+    cluster cluster(task_cluster_options(entries, vms, vm_size));
+    REQUIRE(wait_ready(cluster, entries, vms));
+    const task_stream first(cluster, 0);
+    const task_stream second(cluster, 1);
+    REQUIRE(wait_start_in_domain(cluster, boot_now()));
+    REQUIRE(set_domain(cluster, 0, "out"));
+    const boot_time accepted = boot_now();
+    cluster.restart_agent(removed);
+    REQUIRE(wait_past(accepted + removal_bound));
+    cluster.restart_agent(removed);
+    check_removed(cluster, accepted);
+}
+
+} // namespace
+} // namespace egretstile::harness
