shard: pace the commits below the service's write rate

Cause: group commit bounds the writes of a shard only by the service's latency, so a burst of tasks made more writes than the service takes, and it refused calls, session renewals among them. Excluded: fewer shards; the rate must not depend on how many shards are busy. A limit for each entry; entries would have to agree on their shares, while the interval of a shard holds whoever owns it. Conclusion: a commit of a shard follows the one before by at least shards / writes a second (53 ms today), which an urgent start within 1.2 s can bear.

--- a/packages/daemon/source/entry/shard_host.cpp
+++ b/packages/daemon/source/entry/shard_host.cpp
@@ -31,6 +31,7 @@
 
 shard_host::shard_host(event_loop& loop, platform::key_value_store& store, blocking_pool& calls,
                        shard_number shard, const lease_terms& terms, const ledger_limits& limits,
+                       milliseconds commit_interval,
                        std::function<void(const task_key&)> on_committed)
     : loop_(loop)
     , store_(store)
@@ -38,6 +39,7 @@
     , shard_(shard)
     , terms_(terms)
     , limits_(limits)
+    , commit_interval_(commit_interval)
     , on_committed_(std::move(on_committed))
     , ownership_(shard, entry_id(), terms) {}
 
@@ -160,7 +162,7 @@
         ledger_->tick(now, wall_now_ms());
         next_tick_ = now + tick_interval;
     }
-    if (call_in_flight_ || now < pause_until_) {
+    if (call_in_flight_ || now < pause_until_ || now < next_commit_) {
         return;
     }
     if (in_doubt_) {
@@ -171,6 +173,7 @@
         return;
     }
     if (const std::optional<ledger_commit> commit = ledger_->take_commit()) {
+        next_commit_ = now + commit_interval_;
         write_commit(*commit);
         return;
     }
--- a/packages/daemon/source/entry/shard_host.hpp
+++ b/packages/daemon/source/entry/shard_host.hpp
@@ -25,9 +25,11 @@
 class shard_host {
 public:
     /// `on_committed` gets each key whose committed state changed.
+    /// A commit is started at least `commit_interval` after the one before, whichever entry owns
+    /// the shard, so that the shards together stay below the service's write rate.
     shard_host(event_loop& loop, platform::key_value_store& store, blocking_pool& calls,
                shard_number shard, const lease_terms& terms, const ledger_limits& limits,
-               std::function<void(const task_key&)> on_committed);
+               milliseconds commit_interval, std::function<void(const task_key&)> on_committed);
 
     shard_number number() const { return shard_; }
 
@@ -115,6 +117,8 @@
     shard_number shard_;
     lease_terms terms_;
     ledger_limits limits_;
+    milliseconds commit_interval_;
+    boot_time next_commit_{};
     std::function<void(const task_key&)> on_committed_;
     shard_ownership ownership_;
     std::unique_ptr<shard_ledger> ledger_;
--- a/packages/daemon/source/entry/task_service.cpp
+++ b/packages/daemon/source/entry/task_service.cpp
@@ -31,9 +31,12 @@
     , settings_(settings)
     , fleet_(known_fleet)
     , calls_(commit_threads) {
+    const milliseconds commit_interval(std::chrono::milliseconds::period::den *
+                                       settings_.shard_count /
+                                       settings_.key_value_writes_per_second);
     for (shard_number shard = 0; shard < settings_.shard_count; ++shard) {
         shards_.push_back(std::make_unique<shard_host>(
-            loop_, store, calls_, shard, settings_.common.terms, settings_.ledger,
+            loop_, store, calls_, shard, settings_.common.terms, settings_.ledger, commit_interval,
             [this](const task_key& key) { key_committed(key); }));
     }
 }
--- a/packages/daemon/source/settings/entry_settings.hpp
+++ b/packages/daemon/source/settings/entry_settings.hpp
@@ -44,6 +44,9 @@
     /// Token that operators send; read from a file.
     std::string operator_token;
     std::uint32_t shard_count{16};
+    /// Writes of shard records that all entries together make a second, at most; the service takes
+    /// several hundred writes of all kinds.
+    std::uint32_t key_value_writes_per_second{300};
     milliseconds default_deadline{2000};
     milliseconds stop_timeout{30000};
     /// Share of the plan's rows that a sheet may remove without confirmation, in percent.
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -190,6 +190,8 @@
                       "File with the token that operators send.");
     table.number("shard_count", "shards", target.shard_count, 1, 4096,
                  "Number of shards; the same for all entries, fixed while there are tasks.");
+    table.number("key_value_writes_per_second", "writes/s", target.key_value_writes_per_second, 1,
+                 100000, "Writes of shard records that all entries together make, at most.");
     table.duration("default_deadline_ms", target.default_deadline, 1, day_ms,
                    "Deadline of a request that names none.");
     table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
