entry: name the plan's tasks plan:NAME so that operators can ask for them

Cause: the keys began with plan/, and a key with a slash is two parts of a path, so /v1/tasks/plan/NAME@DATE/explain was answered with 404. Found by running the commands of docs/operations.md against real processes. Excluded: encoding the slash; POCO decodes the path before it is split. Measured by hand, 3 entries and 11 VMs: sheet check, diff, apply (twice), domain out and in, a mistyped domain, upstream drain and undrain, status gave the outcomes that the page says. Conclusion: a colon needs no encoding.

--- a/packages/daemon/source/entry/plan_runner.cpp
+++ b/packages/daemon/source/entry/plan_runner.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Prefix of the keys of the plan's tasks, so that they cannot meet a caller's key.
-const std::string plan_prefix = "plan/";
+const std::string plan_prefix = "plan:";
 
 /// Keys of a watch row's tasks: the generation is the plan version in which the row last changed,
 /// so a changed row gets a new task, in the same shard as the former one.
