--- a/testing/bench/deployment/deployment_run.cpp
+++ b/testing/bench/deployment/deployment_run.cpp
@@ -38,8 +38,6 @@
 constexpr double urgent_per_second = 5;
 constexpr std::int64_t short_work_ms = 1000;
 constexpr std::int64_t long_work_ms = 2000;
-/// Half of the slots of all upstreams busy: 11 upstreams, 8 slots, 5 ms a request.
-constexpr double half_load_per_second = 8800;
 /// Each connection carries one request at a time. Through the entries the number does not limit the
 /// rate at a latency below 29 ms; to one upstream there are no more connections than slots.
 constexpr std::uint32_t half_load_threads = load::most_threads;
@@ -114,7 +112,7 @@
 
 void deployment_run::measure_hops() {
     load::load_settings settings = lookup_load("hops", hop_time);
-    settings.requests.rate = half_load_per_second;
+    settings.requests.rate = scene_.half_load_per_second();
     settings.requests.threads = half_load_threads;
     const process_usage entries = cluster_.entry_usage();
     const process_usage agents = cluster_.agent_usage();
--- a/testing/bench/deployment/main.cpp
+++ b/testing/bench/deployment/main.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdint>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -15,6 +16,7 @@
 struct bench_settings {
     std::string deployment;
     std::string strategy;
+    std::uint32_t service_time_us{5000};
 };
 
 bench_settings parse(int argc, char** argv) {
@@ -23,6 +25,7 @@
     auto add = known.add_options();
     add("deployment", options::value(&settings.deployment), "only this deployment");
     add("strategy", options::value(&settings.strategy), "only strategies with this placement");
+    add("service-us", options::value(&settings.service_time_us), "service time of the upstreams");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, known), values);
     options::notify(values);
@@ -36,7 +39,8 @@
 /// Gives whether each selected combination could be measured.
 bool measure_all(const bench_settings& settings, measurement_table& table) {
     bool complete = true;
-    for (const deployment& scene : all_deployments()) {
+    for (deployment scene : all_deployments()) {
+        scene.service_time_us = settings.service_time_us;
         for (const strategy& how : all_strategies()) {
             if (!selected(settings.deployment, scene.name) ||
                 !selected(settings.strategy, how.placement)) {
--- a/testing/bench/deployment/scenario.cpp
+++ b/testing/bench/deployment/scenario.cpp
@@ -12,6 +12,12 @@
     return share * total / (static_cast<double>(task_cpu_millicores) * work_s);
 }
 
+double deployment::half_load_per_second() const {
+    constexpr double microseconds_per_second = 1e6;
+    const double slots = static_cast<double>(vm_count) * slots_per_upstream;
+    return slots / 2.0 * microseconds_per_second / static_cast<double>(service_time_us);
+}
+
 std::vector<deployment> all_deployments() {
     return {{"tuul",
              {"ub-north", "ub-central", "ub-south"},
@@ -41,8 +47,10 @@
     options.vms = harness::spread_vms(vm_count, scene.domains);
     for (harness::vm_options& vm : options.vms) {
         vm.capacity = scene.capacity;
-        vm.arguments = {"--service", "lookup", "--service-us",  "5000",
-                        "--slots",   "8",      "--connections", "64"};
+        vm.arguments = {"--service",     "lookup",
+                        "--service-us",  std::to_string(scene.service_time_us),
+                        "--slots",       std::to_string(slots_per_upstream),
+                        "--connections", "64"};
     }
     options.adjust_entry = [how](toml::table& settings) {
         settings.insert_or_assign("placement", how.placement);
--- a/testing/bench/deployment/scenario.hpp
+++ b/testing/bench/deployment/scenario.hpp
@@ -21,9 +21,16 @@
     /// each other in the stand-in (by 1.7 when half of the processors are in use), so a lower share
     /// keeps half of the processors in use.
     double offered_share{0};
+    /// Mean service time of the upstreams. With 5 ms, half load takes more processor time for the
+    /// callers and stand-ins than a machine of 10 cores has, so their waits count as ours; a longer
+    /// time gives the same share of busy slots at a lower rate.
+    std::uint32_t service_time_us{5000};
 
     std::int64_t processors_millicores() const;
 
+    /// Requests a second at which half of all slots are busy.
+    double half_load_per_second() const;
+
     failure_domain_name removed_domain() const { return domains.at(1); }
 
     /// Submissions a second of tasks with this run time that use `share` of all processors.
@@ -39,6 +46,7 @@
 
 inline constexpr std::size_t vm_count = 11;
 inline constexpr std::size_t entry_count = 3;
+inline constexpr std::uint32_t slots_per_upstream = 8;
 
 std::vector<deployment> all_deployments();
 
