--- a/packages/core/include/egretstile/core/routing/routing_types.hpp
+++ b/packages/core/include/egretstile/core/routing/routing_types.hpp
@@ -33,8 +33,9 @@
     std::uint32_t max_waiting{1000};
     /// Hedging delay until enough answer times are known.
     milliseconds initial_hedge_delay{100};
-    /// Upstreams that `adaptive` compares for each decision.
-    std::uint32_t adaptive_choices{2};
+    /// Upstreams, drawn at random, that `adaptive` compares for each decision: the one with the
+    /// fewest requests of this entry wins, then the one with the least expected latency.
+    std::uint32_t adaptive_choices{16};
     /// Most of the ready upstreams of a service that are ejected at the same time, in percent; one
     /// of two or more may always be ejected, but never all.
     std::uint32_t max_ejected_percent{30};
--- a/packages/core/source/routing/upstream_pool.cpp
+++ b/packages/core/source/routing/upstream_pool.cpp
@@ -251,13 +251,20 @@
     const std::size_t choices =
         std::clamp<std::size_t>(settings_.adaptive_choices, 1, candidates_.size());
     std::size_t best = candidates_.size();
+    std::uint32_t best_outstanding = 0;
     double best_cost = 0;
     for (std::size_t i = 0; i < choices; ++i) {
         // Partial shuffle: draws without repetition.
         std::swap(candidates_.at(i), candidates_.at(i + draw(candidates_.size() - i)));
-        const double cost = expected_cost(upstreams_[candidates_.at(i)], now);
-        if (best == candidates_.size() || cost < best_cost) {
+        const upstream_state& upstream = upstreams_[candidates_.at(i)];
+        const double cost = expected_cost(upstream, now);
+        // The entry's own count is exact; the reported load and latency are up to a heartbeat
+        // interval old and the same at all entries, which would then choose alike.
+        const bool is_better = upstream.outstanding < best_outstanding ||
+                               (upstream.outstanding == best_outstanding && cost < best_cost);
+        if (best == candidates_.size() || is_better) {
             best = i;
+            best_outstanding = upstream.outstanding;
             best_cost = cost;
         }
     }
