--- /dev/null
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/job/job_table.hpp>
+#include <egretstile/core/job/scheduler_messages.hpp>
+#include <egretstile/core/job/task_placer.hpp>
+#include <egretstile/core/job/vm_table.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretstile {
+
+struct scheduler_settings {
+    /// How long tasks may run on without a word of the leader. Above the usual outages of a link or
+    /// of a leader, and below the longest lease of a runner (10 s).
+    milliseconds permission_term{8000};
+    /// How long a job's final state is kept for callers that ask for it.
+    milliseconds final_retention{120000};
+    /// How much slower or faster than the leader's clock a runner's may be.
+    double clock_drift{0.02};
+    /// Allowance for the delay between the end of a lease and the end of its tasks.
+    milliseconds lapse_margin{500};
+    /// Pause before a task is started again after a failure or a refusal.
+    milliseconds retry_pause{100};
+    /// An unanswered stop is ordered again after this.
+    milliseconds stop_repeat{1000};
+    /// Failed runs in a row after which a VM is avoided, and for how long.
+    std::uint32_t failures_to_avoid{3};
+    milliseconds avoidance{6000};
+    /// A task that neither fills nor serves and makes no progress for this long, or for its
+    /// estimate if that is longer, is moved.
+    milliseconds stall_limit{2500};
+};
+
+/// One line for the log about a decision.
+struct decision {
+    std::string what;
+    /// `name=value` pairs.
+    std::string fields;
+};
+
+/// The leader's part: decides which task runs where. Makes orders for agents and progress to store;
+/// sends and stores nothing itself. Not thread-safe; `now` must not go back.
+class job_scheduler {
+public:
+    using observer = std::function<void(const decision&)>;
+
+    job_scheduler(const scheduler_settings& settings, epoch_number epoch,
+                  std::unique_ptr<task_placer> placer, observer observe);
+
+    epoch_number epoch() const { return epoch_; }
+
+    /// Configuration in force; applies to the next decision.
+    void set_config(const operator_config& config);
+    void set_closed_domains(std::set<failure_domain_name> domains);
+
+    /// An accepted job; known ones are ignored.
+    void add_job(const job_spec& job);
+    /// Stored progress of an added job. Call before the first report is taken.
+    void restore_progress(const job_id& id, const job_progress& progress);
+    /// The job's cancellation is stored.
+    void cancel_job(const job_id& id);
+    bool knows(const job_id& id) const { return jobs_.find(id) != nullptr; }
+
+    /// A VM that an earlier leader may have used. Until it reports, or until `silent_until`, jobs of
+    /// earlier epochs are not started, because their tasks may run there.
+    void expect_vm(const vm_name& name, boot_time silent_until);
+    /// A VM that may be used from now on.
+    void register_vm(const vm_name& name) { vms_[name].name = name; }
+    bool is_registered(const vm_name& name) const { return vms_.count(name) != 0; }
+
+    /// Takes a report in. Precondition: the VM is registered in the store. Returns true when the
+    /// runner's lists were used.
+    bool take_report(const vm_report& report, boot_time now);
+    /// A connection to the VM's agent was opened: orders are numbered anew.
+    void agent_connected(const vm_name& name);
+
+    /// Starts what can start and gives up what has lapsed. `wall_ms` is the time of day.
+    void schedule(boot_time now, std::int64_t wall_ms);
+    /// Orders for the VM: acknowledgements, and starts and stops that were not given out yet.
+    vm_orders take_orders(const vm_name& name, std::uint64_t answered_report);
+    /// VMs with starts or stops that were not given out yet.
+    std::vector<vm_name> vms_with_orders() const;
+
+    /// Progress that has to be stored.
+    std::vector<job_entry*> changed_jobs(std::size_t limit) const { return jobs_.changed(limit); }
+    void mark_stored(const job_id& id, std::uint64_t version, boot_time now);
+    /// Jobs that need not be kept any longer; they are forgotten.
+    std::vector<job_id> take_expired(boot_time now, std::size_t limit);
+
+    /// State to show to a caller: a final state only once it is stored.
+    std::optional<job_state> visible_state(const job_id& id) const;
+    std::size_t pending(const std::string& queue) const { return jobs_.pending(queue); }
+    std::size_t job_count() const { return jobs_.size(); }
+    const vm_table& vms() const { return vms_; }
+    const job_table& jobs() const { return jobs_; }
+    /// Whether an expected VM is still silent.
+    bool is_recovering() const { return !expected_.empty(); }
+
+private:
+    struct outbox {
+        std::vector<start_order> starts;
+        std::vector<task_attempt> stops;
+        std::vector<start_order> attributes;
+    };
+
+    void take_ends(vm_state& vm, const vm_report& report, boot_time now);
+    void take_end(vm_state& vm, const ended_run& end, boot_time now);
+    void take_failure(vm_state& vm, job_entry& job, const ended_run& end, boot_time now);
+    void take_active(vm_state& vm, const vm_report& report, boot_time now);
+    void take_active_run(vm_state& vm, const active_run& active, boot_time now);
+    void take_rejected(vm_state& vm, const vm_report& report, boot_time now);
+    void find_missing(vm_state& vm, const vm_report& report, boot_time now);
+    void lose_runs(vm_state& vm, boot_time now, const char* reason);
+    /// The run is over without an end that counts; the task waits again.
+    void release_run(vm_state& vm, const task_attempt& run, boot_time retry_at);
+    void forget_run(vm_state& vm, const task_attempt& run);
+    void wait_again(job_entry& job, const task_ref& task);
+    void order_stop(vm_state& vm, const task_attempt& run, boot_time now);
+    void stop_other_runs(const task_ref& task, boot_time now);
+    void stop_all_runs(job_entry& job, boot_time now);
+    void finish_gang(job_entry& job, const task_ref& task);
+    void check_completed(job_entry& job);
+    void give_up_silent(boot_time now);
+    void move_from_draining(boot_time now);
+    void start_waiting(boot_time now, std::int64_t wall_ms);
+    void start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    void start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    bool start_task(job_entry& job, const task_ref& task, boot_time now);
+    void order_start(job_entry& job, const task_ref& task, attempt_number attempt, vm_state& vm,
+                     boot_time now);
+    attempt_number next_attempt(const job_entry& job, const task_progress& progress) const;
+    void advance_acknowledged(vm_state& vm);
+    tracked_run* find_run(const task_attempt& run);
+    start_order attributes_of(const job_entry& job, const task_attempt& run) const;
+    void note(const std::string& what, const std::string& fields) const;
+
+    scheduler_settings settings_;
+    epoch_number epoch_;
+    std::unique_ptr<task_placer> placer_;
+    observer observe_;
+    operator_config config_;
+    std::set<failure_domain_name> closed_domains_;
+    job_table jobs_;
+    vm_table vms_;
+    /// VMs of earlier leaders that have not reported yet, and until when they may run tasks.
+    std::map<vm_name, boot_time> expected_;
+    std::map<vm_name, outbox> outboxes_;
+};
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/include/egretstile/core/job/job_spec.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/core/base/resources.hpp>
+#include <egretstile/core/job/operator_config.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretstile {
+
+/// Chosen by the caller; unique in the deployment.
+using job_id = std::string;
+
+/// Tasks of a job that have the same needs.
+struct step_spec {
+    std::uint32_t count{1};
+    /// What one task reserves. With `fills_idle_cpu` the processor share is not reserved.
+    resources need;
+    /// The caller's rough guess of one task's run time.
+    std::uint32_t estimate_ms{0};
+    /// Numbers of steps whose tasks must all be done first.
+    std::vector<std::uint32_t> after;
+    /// The tasks save checkpoints from which a later run resumes.
+    bool checkpointing{false};
+    /// The tasks work only together: one run of all of them, with one attempt number and one end.
+    bool gang{false};
+    /// The tasks are slower when they run on more than one rack.
+    bool rack_local{false};
+    /// Several copies of a task may run at the same time; the first end counts.
+    bool speculative{false};
+    /// The tasks run until the job is cancelled and are restarted however they end.
+    bool long_running{false};
+    /// The tasks take only processor time that others leave unused.
+    bool fills_idle_cpu{false};
+    /// Label that the VM must have; empty: any.
+    std::string required_label;
+    /// Rack on which the tasks' data is; empty: none.
+    std::string preferred_rack;
+    /// Most tasks of the step (of one occurrence) on one VM; zero: no limit.
+    std::uint32_t max_per_vm{0};
+    /// What the tasks execute; tasks of one image behave alike.
+    std::string image;
+    /// Bound of the tail latency of tasks that serve their own users; zero: none.
+    std::uint32_t target_latency_ms{0};
+    /// Most tasks of a long-running step that may be unavailable because of the scheduler; zero: no
+    /// limit.
+    std::uint32_t max_unavailable{0};
+
+    friend bool operator==(const step_spec&, const step_spec&) = default;
+};
+
+/// When the steps of a job run.
+struct job_schedule {
+    /// Wall-clock time of the first occurrence in milliseconds since 1970.
+    std::int64_t first_due_ms{0};
+    std::int64_t interval_ms{0};
+    /// Zero: the steps run once, at once.
+    std::uint32_t repetitions{0};
+
+    friend bool operator==(const job_schedule&, const job_schedule&) = default;
+};
+
+/// An accepted job as it is stored; never changes.
+struct job_spec {
+    job_id id;
+    /// Name of the queue that took the job.
+    std::string queue;
+    /// The queue's policy when it took the job; a later one of the same name replaces it.
+    queue_policy policy;
+    /// Opaque text that is handed to the tasks.
+    std::string payload;
+    std::vector<step_spec> steps;
+    job_schedule schedule;
+    /// Wall-clock time of the acceptance.
+    std::int64_t accepted_at_ms{0};
+    /// Leader epoch that the accepting entry knew. A leader of this epoch or an earlier one is the
+    /// only one that can have started a task of it before.
+    epoch_number accepted_epoch{0};
+};
+
+/// Why a job can never be taken, or nothing when it is well formed. Thread-safe.
+std::string job_problem(const job_spec& job);
+
+/// One task of a job.
+struct task_ref {
+    job_id job;
+    std::uint32_t occurrence{0};
+    std::uint32_t step{0};
+    std::uint32_t index{0};
+
+    friend bool operator==(const task_ref&, const task_ref&) = default;
+    friend std::strong_ordering operator<=>(const task_ref&, const task_ref&) = default;
+};
+
+/// One start of a task.
+struct task_attempt {
+    task_ref task;
+    attempt_number attempt{0};
+
+    friend bool operator==(const task_attempt&, const task_attempt&) = default;
+    friend std::strong_ordering operator<=>(const task_attempt&, const task_attempt&) = default;
+};
+
+/// "JOB.OCCURRENCE.STEP.INDEX", for logs. Thread-safe.
+std::string to_string(const task_ref& task);
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/job/job_spec.hpp>
+#include <egretstile/core/job/runner_types.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace egretstile {
+
+/// What a run takes on its VM until its end is known.
+struct vm_run {
+    resources reserved;
+    bool fills_idle_cpu{false};
+    /// Serves its own users within a latency target.
+    bool serves{false};
+    /// How much processor time it takes at most, reserved or not.
+    std::int64_t wanted_millicores{0};
+};
+
+/// An end that has been taken in and must be stored before the runner may forget it.
+struct unacknowledged_end {
+    std::uint64_t number{0};
+    job_id job;
+    /// Version of the job that holds the end; zero: nothing has to be stored.
+    std::uint64_t job_version{0};
+};
+
+/// A VM as the leader knows it.
+struct vm_state {
+    vm_name name;
+    runner_registration runner;
+    /// Its agent reports to this leader and the runner's lists are known.
+    bool usable{false};
+    /// Until then the runs that were reported or ordered may go on without a word of the agent.
+    boot_time may_run_until{};
+    std::map<task_attempt, vm_run> runs;
+    resources reserved;
+    /// Number of the last message with orders on this connection.
+    std::uint64_t orders_sent{0};
+    /// Last end that was taken in, and last that may be forgotten.
+    std::uint64_t taken_end{0};
+    std::uint64_t acknowledged_end{0};
+    std::deque<unacknowledged_end> unacknowledged;
+    /// Failed runs since the last run that ended as done, and until when the VM is avoided.
+    std::uint32_t failures_in_row{0};
+    boot_time avoided_until{};
+
+    /// Adds a run and its reservation, unless it is there.
+    void add_run(const task_attempt& run, const vm_run& needs);
+    /// Removes a run and its reservation; false when it was not there.
+    bool remove_run(const task_attempt& run);
+    /// Processor time that no run has reserved.
+    std::int64_t free_millicores() const;
+    bool has_serving_run() const;
+    /// Processor time that the runs that fill would like to have.
+    std::int64_t filling_millicores() const;
+};
+
+using vm_table = std::map<vm_name, vm_state>;
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -0,0 +1,475 @@
+#include <egretstile/core/job/job_scheduler.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace egretstile {
+
+namespace {
+
+std::string field(const char* name, const std::string& value) {
+    return std::string(name) + "=" + value + " ";
+}
+
+std::string fields_of(const task_attempt& run, const vm_name& vm) {
+    return field("job", run.task.job) + field("task", to_string(run.task)) +
+           field("attempt", std::to_string(run.attempt)) + field("vm", vm);
+}
+
+bool is_done(const job_entry& job) {
+    return std::all_of(job.occurrences.begin(), job.occurrences.end(),
+                       [](const occurrence_state& occurrence) {
+                           return occurrence.done_steps == occurrence.steps.size();
+                       });
+}
+
+const step_spec& step_of(const job_entry& job, const task_ref& task) {
+    return job.spec.steps[task.step];
+}
+
+} // namespace
+
+job_scheduler::job_scheduler(const scheduler_settings& settings, epoch_number epoch,
+                             std::unique_ptr<task_placer> placer, observer observe)
+    : settings_(settings)
+    , epoch_(epoch)
+    , placer_(std::move(placer))
+    , observe_(std::move(observe)) {}
+
+void job_scheduler::set_config(const operator_config& config) {
+    config_ = config;
+    for (job_entry* const job : jobs_.unfinished()) {
+        if (const queue_policy* const policy = find_queue_by_name(config_, job->spec.queue)) {
+            job->policy = *policy;
+        }
+    }
+}
+
+void job_scheduler::set_closed_domains(std::set<failure_domain_name> domains) {
+    closed_domains_ = std::move(domains);
+}
+
+void job_scheduler::add_job(const job_spec& job) {
+    if (!knows(job.id)) {
+        jobs_.add(job, find_queue_by_name(config_, job.queue));
+    }
+}
+
+void job_scheduler::restore_progress(const job_id& id, const job_progress& progress) {
+    if (job_entry* const job = jobs_.find(id)) {
+        jobs_.restore(*job, progress);
+    }
+}
+
+void job_scheduler::cancel_job(const job_id& id) {
+    job_entry* const job = jobs_.find(id);
+    if (job == nullptr || is_final(job->state)) {
+        return;
+    }
+    note("Cancelled a job.", field("job", id));
+    jobs_.finish(*job, job_state::cancelled);
+    stop_all_runs(*job, boot_time());
+}
+
+void job_scheduler::expect_vm(const vm_name& name, boot_time silent_until) {
+    vms_[name].name = name;
+    expected_[name] = silent_until;
+}
+
+void job_scheduler::agent_connected(const vm_name& name) {
+    const auto found = vms_.find(name);
+    if (found == vms_.end()) {
+        return;
+    }
+    vm_state& vm = found->second;
+    vm.orders_sent = 0;
+    for (const auto& [run, needs] : vm.runs) {
+        if (tracked_run* const tracked = find_run(run)) {
+            tracked->order_number = 0;
+            tracked->stop_sent_at = boot_time();
+            tracked->attributes_known = false;
+        }
+    }
+    outboxes_.erase(name);
+}
+
+bool job_scheduler::take_report(const vm_report& report, boot_time now) {
+    vm_state& vm = vms_[report.vm];
+    vm.name = report.vm;
+    if (report.lapsed || (vm.runner.life != report.runner.life && !report.runner.life.empty())) {
+        lose_runs(vm, now, report.lapsed ? "lapsed" : "runner_restarted");
+    }
+    if (vm.runner.life != report.runner.life) {
+        vm.taken_end = 0;
+        vm.acknowledged_end = 0;
+        vm.unacknowledged.clear();
+    }
+    vm.runner = report.runner;
+    vm.usable = report.lists_known && !report.lapsed;
+    if (report.lapsed) {
+        expected_.erase(report.vm);
+    }
+    if (!vm.usable) {
+        return false;
+    }
+    vm.may_run_until = now +
+                       std::chrono::duration_cast<milliseconds>(settings_.permission_term *
+                                                                (1.0 + settings_.clock_drift)) +
+                       settings_.lapse_margin;
+    take_ends(vm, report, now);
+    take_active(vm, report, now);
+    take_rejected(vm, report, now);
+    find_missing(vm, report, now);
+    expected_.erase(report.vm);
+    return true;
+}
+
+void job_scheduler::take_ends(vm_state& vm, const vm_report& report, boot_time now) {
+    for (const ended_run& end : report.ended) {
+        if (end.number <= vm.taken_end) {
+            continue;
+        }
+        vm.taken_end = end.number;
+        take_end(vm, end, now);
+        const job_entry* const job = jobs_.find(end.run.task.job);
+        vm.unacknowledged.push_back(
+            {end.number, end.run.task.job, job == nullptr ? 0 : job->version});
+    }
+    advance_acknowledged(vm);
+}
+
+void job_scheduler::take_end(vm_state& vm, const ended_run& end, boot_time now) {
+    job_entry* const job = jobs_.find(end.run.task.job);
+    job_task* const task = jobs_.find_task(end.run.task);
+    note("A run ended.", fields_of(end.run, vm.name) +
+                             field("outcome", std::string(name_of(run_outcome_names, end.outcome))));
+    if (job == nullptr || task == nullptr) {
+        vm.remove_run(end.run);
+        return;
+    }
+    forget_run(vm, end.run);
+    task->progress.last_attempt = std::max(task->progress.last_attempt, end.run.attempt);
+    if (end.outcome == run_outcome::done && !step_of(*job, end.run.task).long_running) {
+        vm.failures_in_row = 0;
+        // A run that was given up may have ended before its lease did, while another one goes on;
+        // the end of the one that is followed counts.
+        if (task->runs.empty() || step_of(*job, end.run.task).speculative) {
+            if (step_of(*job, end.run.task).gang) {
+                finish_gang(*job, end.run.task);
+            } else {
+                jobs_.mark_done(*job, end.run.task);
+            }
+            stop_other_runs(end.run.task, now);
+            check_completed(*job);
+        }
+        return;
+    }
+    if (!end.checkpoint.empty() && task->runs.empty()) {
+        task->progress.checkpoint = end.checkpoint;
+        jobs_.mark_changed(*job);
+    }
+    if (end.outcome == run_outcome::failed) {
+        take_failure(vm, *job, end, now);
+    }
+    wait_again(*job, end.run.task);
+}
+
+void job_scheduler::take_failure(vm_state& vm, job_entry& job, const ended_run& end, boot_time now) {
+    if (++vm.failures_in_row >= settings_.failures_to_avoid) {
+        vm.avoided_until = now + settings_.avoidance;
+        note("Avoids a VM whose runs fail.",
+             field("vm", vm.name) + field("failures", std::to_string(vm.failures_in_row)));
+    }
+    const step_spec& step = step_of(job, end.run.task);
+    job_task& task = *jobs_.find_task(end.run.task);
+    task.failed_on = vm.name;
+    task.retry_at = now + settings_.retry_pause;
+    if (step.long_running) {
+        return;
+    }
+    // All members of a gang count as one.
+    const task_ref counted{end.run.task.job, end.run.task.occurrence, end.run.task.step,
+                           step.gang ? 0 : end.run.task.index};
+    std::vector<attempt_number>& failed = jobs_.find_task(counted)->progress.failed_attempts;
+    if (std::find(failed.begin(), failed.end(), end.run.attempt) != failed.end()) {
+        return;
+    }
+    failed.push_back(end.run.attempt);
+    jobs_.mark_changed(job);
+    if (failed.size() >= job.policy.max_attempts && !is_final(job.state)) {
+        note("A job failed: a task used up its attempts.",
+             fields_of(end.run, vm.name) + field("failures", std::to_string(failed.size())));
+        jobs_.finish(job, job_state::failed);
+        stop_all_runs(job, now);
+    }
+}
+
+void job_scheduler::take_active(vm_state& vm, const vm_report& report, boot_time now) {
+    for (const active_run& active : report.active) {
+        take_active_run(vm, active, now);
+    }
+    for (const task_attempt& starting : report.starting) {
+        if (vm.runs.count(starting) == 0) {
+            take_active_run(vm, {starting, "", 0, 0}, now);
+        }
+    }
+}
+
+void job_scheduler::take_active_run(vm_state& vm, const active_run& active, boot_time now) {
+    job_entry* const job = jobs_.find(active.run.task.job);
+    job_task* const task = jobs_.find_task(active.run.task);
+    if (job == nullptr || task == nullptr) {
+        note("Stops a run of an unknown task.", fields_of(active.run, vm.name));
+        outboxes_[vm.name].stops.push_back(active.run);
+        return;
+    }
+    const step_spec& step = step_of(*job, active.run.task);
+    task->progress.last_attempt = std::max(task->progress.last_attempt, active.run.attempt);
+    vm.add_run(active.run, needs_of(step));
+    tracked_run* tracked = find_run(active.run);
+    const bool wanted = !is_final(job->state) && !task->progress.done;
+    if (tracked == nullptr && wanted && (task->runs.empty() || step.speculative)) {
+        task->runs.push_back({active.run.attempt, vm.name});
+        tracked = &task->runs.back();
+        tracked->started_at = now;
+        tracked->progressed_at = now;
+        job->occurrences[active.run.task.occurrence].steps[active.run.task.step].waiting.erase(
+            active.run.task.index);
+        if (job->state == job_state::queued) {
+            job->state = job_state::running;
+        }
+    }
+    if (tracked == nullptr || tracked->vm != vm.name || !wanted) {
+        order_stop(vm, active.run, now);
+        return;
+    }
+    if (active.percent > tracked->percent || !tracked->seen_active) {
+        tracked->progressed_at = now;
+    }
+    tracked->seen_active = true;
+    tracked->percent = active.percent;
+    if (!active.checkpoint.empty()) {
+        task->progress.checkpoint = active.checkpoint;
+    }
+    if (!std::exchange(tracked->attributes_known, true) &&
+        (step.fills_idle_cpu || step.target_latency_ms > 0)) {
+        outboxes_[vm.name].attributes.push_back(attributes_of(*job, active.run));
+    }
+}
+
+void job_scheduler::take_rejected(vm_state& vm, const vm_report& report, boot_time now) {
+    for (const rejected_run& rejected : report.rejected) {
+        if (vm.runs.count(rejected.run) != 0) {
+            note("A run is not on its VM.",
+                 fields_of(rejected.run, vm.name) + field("reason", rejected.reason));
+            release_run(vm, rejected.run, now + settings_.retry_pause);
+        }
+    }
+}
+
+void job_scheduler::find_missing(vm_state& vm, const vm_report& report, boot_time now) {
+    std::set<task_attempt> listed(report.starting.begin(), report.starting.end());
+    for (const active_run& active : report.active) {
+        listed.insert(active.run);
+    }
+    for (const auto& [run, needs] : vm.runs) {
+        if (listed.count(run) != 0) {
+            continue;
+        }
+        const tracked_run* const tracked = find_run(run);
+        // The agent answers the stop with an end or with word that the run will never be there.
+        if (tracked == nullptr || tracked->order_number <= report.orders_seen) {
+            order_stop(vm, run, now);
+        }
+    }
+}
+
+void job_scheduler::lose_runs(vm_state& vm, boot_time now, const char* reason) {
+    while (!vm.runs.empty()) {
+        const task_attempt run = vm.runs.begin()->first;
+        note("Gave up a run.", fields_of(run, vm.name) + field("reason", reason));
+        release_run(vm, run, now);
+    }
+    outboxes_.erase(vm.name);
+}
+
+void job_scheduler::forget_run(vm_state& vm, const task_attempt& run) {
+    vm.remove_run(run);
+    job_task* const task = jobs_.find_task(run.task);
+    if (task == nullptr) {
+        return;
+    }
+    std::vector<tracked_run>& runs = task->runs;
+    runs.erase(std::remove_if(runs.begin(), runs.end(),
+                              [&](const tracked_run& tracked) {
+                                  return tracked.attempt == run.attempt && tracked.vm == vm.name;
+                              }),
+               runs.end());
+}
+
+void job_scheduler::release_run(vm_state& vm, const task_attempt& run, boot_time retry_at) {
+    forget_run(vm, run);
+    job_entry* const job = jobs_.find(run.task.job);
+    job_task* const task = jobs_.find_task(run.task);
+    if (job != nullptr && task != nullptr) {
+        task->retry_at = std::max(task->retry_at, retry_at);
+        wait_again(*job, run.task);
+    }
+}
+
+void job_scheduler::wait_again(job_entry& job, const task_ref& task) {
+    const job_task& state = *jobs_.find_task(task);
+    if (!is_final(job.state) && !state.progress.done && state.runs.empty()) {
+        job.occurrences[task.occurrence].steps[task.step].waiting.insert(task.index);
+    }
+}
+
+void job_scheduler::order_stop(vm_state& vm, const task_attempt& run, boot_time now) {
+    tracked_run* const tracked = find_run(run);
+    std::vector<task_attempt>& stops = outboxes_[vm.name].stops;
+    if (tracked != nullptr && tracked->vm == vm.name) {
+        if (tracked->stopping && now < tracked->stop_sent_at + settings_.stop_repeat) {
+            return;
+        }
+        tracked->stopping = true;
+        tracked->stop_sent_at = now;
+    }
+    if (std::find(stops.begin(), stops.end(), run) == stops.end()) {
+        stops.push_back(run);
+    }
+}
+
+void job_scheduler::stop_other_runs(const task_ref& task, boot_time now) {
+    for (const tracked_run& tracked : jobs_.find_task(task)->runs) {
+        const auto vm = vms_.find(tracked.vm);
+        if (vm != vms_.end()) {
+            order_stop(vm->second, {task, tracked.attempt}, now);
+        }
+    }
+}
+
+void job_scheduler::stop_all_runs(job_entry& job, boot_time now) {
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < job.occurrences[k].steps[s].tasks.size(); ++i) {
+                stop_other_runs({job.spec.id, k, s, i}, now);
+            }
+        }
+    }
+}
+
+void job_scheduler::finish_gang(job_entry& job, const task_ref& task) {
+    const std::uint32_t count = job.spec.steps[task.step].count;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        jobs_.mark_done(job, {task.job, task.occurrence, task.step, index});
+    }
+}
+
+void job_scheduler::check_completed(job_entry& job) {
+    if (!is_final(job.state) && is_done(job)) {
+        note("A job is done.", field("job", job.spec.id));
+        jobs_.finish(job, job_state::completed);
+    }
+}
+
+void job_scheduler::advance_acknowledged(vm_state& vm) {
+    while (!vm.unacknowledged.empty()) {
+        const unacknowledged_end& end = vm.unacknowledged.front();
+        const job_entry* const job = jobs_.find(end.job);
+        if (job != nullptr && job->stored_version < end.job_version) {
+            return;
+        }
+        vm.acknowledged_end = end.number;
+        vm.unacknowledged.pop_front();
+    }
+}
+
+vm_orders job_scheduler::take_orders(const vm_name& name, std::uint64_t answered_report) {
+    vm_orders orders;
+    orders.epoch = epoch_;
+    orders.answered_report = answered_report;
+    orders.permission_ms = static_cast<std::uint32_t>(settings_.permission_term.count());
+    const auto found = vms_.find(name);
+    if (found == vms_.end()) {
+        return orders;
+    }
+    vm_state& vm = found->second;
+    orders.runner_life = vm.runner.life;
+    orders.acknowledged_ends = vm.acknowledged_end;
+    outbox pending = std::move(outboxes_[name]);
+    outboxes_.erase(name);
+    if (!pending.starts.empty() || !pending.stops.empty()) {
+        ++vm.orders_sent;
+    }
+    orders.number = vm.orders_sent;
+    orders.starts = std::move(pending.starts);
+    orders.stops = std::move(pending.stops);
+    orders.attributes = std::move(pending.attributes);
+    return orders;
+}
+
+std::vector<vm_name> job_scheduler::vms_with_orders() const {
+    std::vector<vm_name> names;
+    for (const auto& [name, pending] : outboxes_) {
+        if (!pending.starts.empty() || !pending.stops.empty() || !pending.attributes.empty()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+void job_scheduler::mark_stored(const job_id& id, std::uint64_t version, boot_time now) {
+    if (job_entry* const job = jobs_.find(id)) {
+        jobs_.mark_stored(*job, version, now);
+    }
+    for (auto& [name, vm] : vms_) {
+        advance_acknowledged(vm);
+    }
+}
+
+std::vector<job_id> job_scheduler::take_expired(boot_time now, std::size_t limit) {
+    std::vector<job_id> expired = jobs_.final_before(now - settings_.final_retention);
+    expired.resize(std::min(limit, expired.size()));
+    for (const job_id& id : expired) {
+        jobs_.remove(id);
+    }
+    return expired;
+}
+
+std::optional<job_state> job_scheduler::visible_state(const job_id& id) const {
+    const job_entry* const job = jobs_.find(id);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    const bool needs_storing = job->state == job_state::completed || job->state == job_state::failed;
+    if (needs_storing && job->stored_version < job->version) {
+        return job_state::running;
+    }
+    return job->state;
+}
+
+tracked_run* job_scheduler::find_run(const task_attempt& run) {
+    job_task* const task = jobs_.find_task(run.task);
+    if (task == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(
+        task->runs.begin(), task->runs.end(),
+        [&run](const tracked_run& tracked) { return tracked.attempt == run.attempt; });
+    return found == task->runs.end() ? nullptr : &*found;
+}
+
+start_order job_scheduler::attributes_of(const job_entry& job, const task_attempt& run) const {
+    const step_spec& step = step_of(job, run.task);
+    start_order order;
+    order.run = run;
+    order.fills_idle_cpu = step.fills_idle_cpu;
+    order.target_latency_ms = step.target_latency_ms;
+    return order;
+}
+
+void job_scheduler::note(const std::string& what, const std::string& fields) const {
+    observe_({what, fields});
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -0,0 +1,202 @@
+#include <egretstile/core/job/job_scheduler.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace egretstile {
+
+namespace {
+
+/// Attempt numbers that one leader may use up for a task. Each leader starts its numbers above the
+/// block of the one before, because it cannot know of all starts that are still on their way.
+constexpr attempt_number attempts_of_epoch = 1000;
+
+/// When the job should be done; later jobs wait for earlier ones.
+std::int64_t objective_ms(const job_entry& job) {
+    const double chain = static_cast<double>(job.chain.count()) * job.policy.slack_factor;
+    return job.spec.accepted_at_ms + static_cast<std::int64_t>(chain) +
+           job.policy.target_completion.count();
+}
+
+std::vector<job_entry*> in_order(const std::set<job_entry*>& jobs) {
+    std::vector<job_entry*> ordered(jobs.begin(), jobs.end());
+    std::sort(ordered.begin(), ordered.end(), [](const job_entry* left, const job_entry* right) {
+        return std::make_tuple(left->policy.priority, objective_ms(*left), std::cref(left->spec.id)) <
+               std::make_tuple(right->policy.priority, objective_ms(*right), std::cref(right->spec.id));
+    });
+    return ordered;
+}
+
+} // namespace
+
+void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
+    give_up_silent(now);
+    move_from_draining(now);
+    start_waiting(now, wall_ms);
+}
+
+void job_scheduler::give_up_silent(boot_time now) {
+    for (auto& [name, vm] : vms_) {
+        if (!vm.runs.empty() && now >= vm.may_run_until) {
+            lose_runs(vm, now, "silent");
+            vm.usable = false;
+        }
+    }
+    for (auto expected = expected_.begin(); expected != expected_.end();) {
+        if (now >= expected->second) {
+            note("A VM of an earlier leader stayed silent.", "vm=" + expected->first);
+            expected = expected_.erase(expected);
+        } else {
+            ++expected;
+        }
+    }
+}
+
+void job_scheduler::move_from_draining(boot_time now) {
+    for (auto& [name, vm] : vms_) {
+        if (!vm.usable || vm.runner.state != runner_state::draining) {
+            continue;
+        }
+        std::vector<task_attempt> leaving;
+        for (const auto& [run, needs] : vm.runs) {
+            const job_entry* const job = jobs_.find(run.task.job);
+            if (job != nullptr && (job->spec.steps[run.task.step].long_running ||
+                                   job->spec.steps[run.task.step].checkpointing)) {
+                leaving.push_back(run);
+            }
+        }
+        for (const task_attempt& run : leaving) {
+            order_stop(vm, run, now);
+        }
+    }
+}
+
+void job_scheduler::start_waiting(boot_time now, std::int64_t wall_ms) {
+    for (job_entry* const job : in_order(jobs_.unfinished())) {
+        if (is_recovering() && job->spec.accepted_epoch < epoch_) {
+            continue;
+        }
+        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+            const occurrence_state& occurrence = job->occurrences[k];
+            if (occurrence.due_ms > wall_ms) {
+                break;
+            }
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+                if (occurrence.steps[s].waiting.empty() || !is_step_ready(*job, occurrence, s)) {
+                    continue;
+                }
+                if (job->spec.steps[s].gang) {
+                    start_gang(*job, k, s, now);
+                } else {
+                    start_step(*job, k, s, now);
+                }
+            }
+        }
+    }
+}
+
+void job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+                               boot_time now) {
+    const std::set<std::uint32_t> waiting = job.occurrences[occurrence].steps[step].waiting;
+    for (const std::uint32_t index : waiting) {
+        const task_ref task{job.spec.id, occurrence, step, index};
+        if (jobs_.find_task(task)->retry_at > now) {
+            continue;
+        }
+        if (!start_task(job, task, now)) {
+            return;
+        }
+    }
+}
+
+bool job_scheduler::start_task(job_entry& job, const task_ref& task, boot_time now) {
+    const job_task& state = *jobs_.find_task(task);
+    placement_request request;
+    request.job = &job;
+    request.step = &job.spec.steps[task.step];
+    request.task = task;
+    request.disliked = state.failed_on;
+    for (const tracked_run& run : state.runs) {
+        request.excluded.insert(run.vm);
+    }
+    vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
+    if (vm == nullptr) {
+        return false;
+    }
+    order_start(job, task, next_attempt(job, state.progress), *vm, now);
+    return true;
+}
+
+void job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+                               boot_time now) {
+    const step_state& state = job.occurrences[occurrence].steps[step];
+    if (state.waiting.size() < state.tasks.size()) {
+        return; // Members of the run before are still there.
+    }
+    attempt_number attempt = 0;
+    for (const job_task& task : state.tasks) {
+        if (task.retry_at > now) {
+            return;
+        }
+        attempt = std::max(attempt, next_attempt(job, task.progress));
+    }
+    // All members start or none; a reservation without an order is taken back.
+    std::vector<std::pair<vm_state*, task_attempt>> placed;
+    for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+        const task_ref task{job.spec.id, occurrence, step, index};
+        placement_request request;
+        request.job = &job;
+        request.step = &job.spec.steps[step];
+        request.task = task;
+        vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
+        if (vm == nullptr) {
+            for (const auto& [reserved, run] : placed) {
+                reserved->remove_run(run);
+            }
+            return;
+        }
+        vm->add_run({task, attempt}, needs_of(*request.step));
+        placed.emplace_back(vm, task_attempt{task, attempt});
+    }
+    for (const auto& [vm, run] : placed) {
+        order_start(job, run.task, attempt, *vm, now);
+    }
+}
+
+void job_scheduler::order_start(job_entry& job, const task_ref& task, attempt_number attempt,
+                                vm_state& vm, boot_time now) {
+    job_task& state = *jobs_.find_task(task);
+    const step_spec& step = job.spec.steps[task.step];
+    vm.add_run({task, attempt}, needs_of(step));
+    tracked_run run;
+    run.attempt = attempt;
+    run.vm = vm.name;
+    run.order_number = vm.orders_sent + 1;
+    run.started_at = now;
+    run.progressed_at = now;
+    run.attributes_known = true;
+    state.runs.push_back(run);
+    state.progress.last_attempt = std::max(state.progress.last_attempt, attempt);
+    job.occurrences[task.occurrence].steps[task.step].waiting.erase(task.index);
+    if (job.state == job_state::queued) {
+        job.state = job_state::running;
+    }
+    start_order order = attributes_of(job, {task, attempt});
+    order.payload = job.spec.payload;
+    order.checkpoint = state.progress.checkpoint;
+    outboxes_[vm.name].starts.push_back(std::move(order));
+    note("Starts a task.", "job=" + task.job + " task=" + to_string(task) + " attempt=" +
+                               std::to_string(attempt) + " vm=" + vm.name + " free_millicores=" +
+                               std::to_string(vm.free_millicores()));
+}
+
+attempt_number job_scheduler::next_attempt(const job_entry& job,
+                                           const task_progress& progress) const {
+    const epoch_number epochs = epoch_ - std::min(epoch_, job.spec.accepted_epoch);
+    return std::max(progress.last_attempt,
+                    static_cast<attempt_number>(epochs) * attempts_of_epoch) + 1;
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/source/job/run_tracker.cpp
@@ -0,0 +1,283 @@
+#include <egretstile/core/job/run_tracker.hpp>
+
+#include <algorithm>
+
+namespace egretstile {
+
+namespace {
+
+/// Reports whose time of sending is kept; more than are ever unanswered within a permission.
+constexpr std::size_t max_sent_reports = 256;
+
+bool holds(const std::vector<active_run>& runs, const task_attempt& run) {
+    return std::any_of(runs.begin(), runs.end(),
+                       [&run](const active_run& active) { return active.run == run; });
+}
+
+bool holds(const std::vector<ended_run>& runs, const task_attempt& run) {
+    return std::any_of(runs.begin(), runs.end(),
+                       [&run](const ended_run& ended) { return ended.run == run; });
+}
+
+} // namespace
+
+run_tracker::run_tracker(const run_tracker_settings& settings)
+    : settings_(settings) {}
+
+void run_tracker::registered(const runner_registration& registration) {
+    if (registration.life != registration_.life) {
+        forget_runner();
+        gone_ = false;
+        news_ = true;
+    }
+    if (registration.state != registration_.state) {
+        news_ = true;
+    }
+    registration_ = registration;
+}
+
+void run_tracker::runner_gone() {
+    forget_runner();
+    registration_.state = runner_state::absent;
+    gone_ = true;
+    news_ = true;
+}
+
+void run_tracker::forget_runner() {
+    lists_known_ = false;
+    active_.clear();
+    ended_.clear();
+    starts_.clear();
+    stops_.clear();
+    confirmed_.clear();
+    attributes_.clear();
+    rejected_.clear();
+    acknowledged_ends_ = 0;
+    clock_read_at_ = boot_time();
+    leased_until_ = boot_time();
+}
+
+bool run_tracker::take_orders(const vm_orders& orders, boot_time now) {
+    if (orders.epoch < epoch_) {
+        return false;
+    }
+    if (orders.epoch > epoch_) {
+        epoch_ = orders.epoch;
+        orders_seen_ = 0;
+        news_ = true;
+    }
+    orders_seen_ = std::max(orders_seen_, orders.number);
+    const auto answered = std::find_if(
+        sent_reports_.begin(), sent_reports_.end(),
+        [&orders](const std::pair<std::uint64_t, boot_time>& sent) {
+            return sent.first == orders.answered_report;
+        });
+    if (answered != sent_reports_.end()) {
+        permission_until_ = std::max(permission_until_,
+                                     answered->second + milliseconds(orders.permission_ms));
+        sent_reports_.erase(sent_reports_.begin(), answered);
+        const std::uint64_t sequence = orders.answered_report;
+        rejected_.erase(std::remove_if(rejected_.begin(), rejected_.end(),
+                                       [sequence](const std::pair<rejected_run, std::uint64_t>& row) {
+                                           return row.second != 0 && row.second <= sequence;
+                                       }),
+                        rejected_.end());
+    }
+    if (orders.runner_life != registration_.life) {
+        for (const start_order& order : orders.starts) {
+            reject(order.run, "other_life");
+        }
+        return true;
+    }
+    acknowledged_ends_ = std::max(acknowledged_ends_, orders.acknowledged_ends);
+    for (const start_order& order : orders.attributes) {
+        attributes_[order.run] = order;
+    }
+    for (const start_order& order : orders.starts) {
+        if (registration_.state != runner_state::ready) {
+            reject(order.run, "draining");
+        } else if (now >= permission_until_) {
+            // The order was held up; the leader may have given the run up meanwhile.
+            reject(order.run, "order_too_late");
+        } else if (!is_listed(order.run) && starts_.count(order.run) == 0) {
+            starts_[order.run].order = order;
+            attributes_[order.run] = order;
+        }
+    }
+    for (const task_attempt& run : orders.stops) {
+        stops_.emplace(run, pending_stop());
+    }
+    return true;
+}
+
+std::optional<start_order> run_tracker::next_start() {
+    for (auto& [run, pending] : starts_) {
+        if (!pending.in_flight && stops_.count(run) == 0) {
+            pending.in_flight = true;
+            ++pending.tries;
+            return pending.order;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<task_attempt> run_tracker::next_stop() {
+    for (auto& [run, pending] : stops_) {
+        if (!pending.in_flight && !pending.confirmed_at_ms) {
+            pending.in_flight = true;
+            return run;
+        }
+    }
+    return std::nullopt;
+}
+
+void run_tracker::start_done(const task_attempt& run, std::int64_t clock_ms) {
+    if (starts_.erase(run) != 0) {
+        confirmed_[run] = clock_ms;
+    }
+}
+
+void run_tracker::start_rejected(const task_attempt& run, const std::string& reason) {
+    if (starts_.erase(run) != 0) {
+        reject(run, reason);
+    }
+}
+
+void run_tracker::start_was_old(const task_attempt& run, std::int64_t clock_ms) {
+    start_done(run, clock_ms);
+}
+
+void run_tracker::start_unanswered(const task_attempt& run) {
+    const auto found = starts_.find(run);
+    if (found == starts_.end()) {
+        return;
+    }
+    found->second.in_flight = false;
+    if (found->second.tries >= settings_.start_tries) {
+        // The start may still be carried out; a confirmed stop rules that out.
+        stops_.emplace(run, pending_stop());
+    }
+}
+
+void run_tracker::stop_done(const task_attempt& run, std::int64_t clock_ms) {
+    const auto found = stops_.find(run);
+    if (found != stops_.end()) {
+        found->second.in_flight = false;
+        found->second.confirmed_at_ms = clock_ms;
+    }
+}
+
+void run_tracker::stop_unanswered(const task_attempt& run) {
+    const auto found = stops_.find(run);
+    if (found != stops_.end()) {
+        found->second.in_flight = false;
+    }
+}
+
+void run_tracker::lists_read(std::int64_t clock_ms, std::vector<active_run>&& active,
+                             std::vector<ended_run>&& ended, boot_time now) {
+    if (lists_known_ && clock_ms < clock_ms_) {
+        return; // Overtaken by a later answer on another connection.
+    }
+    clock_ms_ = clock_ms;
+    clock_read_at_ = now;
+    const bool new_end = !ended.empty() && (ended_.empty() || ended.back().number > ended_.back().number);
+    active_ = std::move(active);
+    ended_ = std::move(ended);
+    news_ = news_ || new_end || !lists_known_;
+    lists_known_ = true;
+    gone_ = false;
+    for (auto pending = starts_.begin(); pending != starts_.end();) {
+        pending = is_listed(pending->first) ? starts_.erase(pending) : std::next(pending);
+    }
+    for (auto row = confirmed_.begin(); row != confirmed_.end();) {
+        if (row->second >= clock_ms) {
+            ++row;
+            continue;
+        }
+        if (!is_listed(row->first)) {
+            reject(row->first, "not_there");
+        }
+        row = confirmed_.erase(row);
+    }
+    for (auto row = stops_.begin(); row != stops_.end();) {
+        const bool over = holds(ended_, row->first);
+        const bool absent = row->second.confirmed_at_ms &&
+                            *row->second.confirmed_at_ms < clock_ms && !is_listed(row->first);
+        if (!over && !absent) {
+            ++row;
+            continue;
+        }
+        starts_.erase(row->first);
+        confirmed_.erase(row->first);
+        if (!over) {
+            reject(row->first, "stopped_before_start");
+        }
+        row = stops_.erase(row);
+    }
+}
+
+std::optional<std::int64_t> run_tracker::lease_until_ms(boot_time now) {
+    if (clock_read_at_ == boot_time() || now >= permission_until_) {
+        return std::nullopt;
+    }
+    const double slow = 1.0 - settings_.clock_drift;
+    const std::int64_t elapsed = std::chrono::duration_cast<milliseconds>(now - clock_read_at_).count();
+    const std::int64_t runner_now = clock_ms_ + static_cast<std::int64_t>(static_cast<double>(elapsed) * slow);
+    const milliseconds length = std::min(
+        settings_.runner_lease, std::chrono::duration_cast<milliseconds>(permission_until_ - now));
+    const milliseconds longest(static_cast<std::int64_t>(static_cast<double>(length.count()) / slow));
+    leased_until_ = std::max(leased_until_, now + longest + settings_.lapse_margin);
+    return runner_now + length.count();
+}
+
+vm_report run_tracker::make_report(const vm_name& vm, boot_time now) {
+    vm_report report;
+    report.vm = vm;
+    report.sequence = ++reports_;
+    report.epoch = epoch_;
+    report.orders_seen = orders_seen_;
+    report.runner = registration_;
+    report.lists_known = lists_known_;
+    report.lapsed = gone_;
+    report.active = active_;
+    for (const auto& [run, pending] : starts_) {
+        report.starting.push_back(run);
+    }
+    for (const auto& [run, clock] : confirmed_) {
+        if (!is_listed(run)) {
+            report.starting.push_back(run);
+        }
+    }
+    for (const ended_run& end : ended_) {
+        if (end.number > acknowledged_ends_) {
+            report.ended.push_back(end);
+        }
+    }
+    for (std::pair<rejected_run, std::uint64_t>& row : rejected_) {
+        row.second = row.second == 0 ? reports_ : row.second;
+        report.rejected.push_back(row.first);
+    }
+    sent_reports_.emplace_back(reports_, now);
+    if (sent_reports_.size() > max_sent_reports) {
+        sent_reports_.pop_front();
+    }
+    return report;
+}
+
+const start_order* run_tracker::attributes(const task_attempt& run) const {
+    const auto found = attributes_.find(run);
+    return found == attributes_.end() ? nullptr : &found->second;
+}
+
+void run_tracker::reject(const task_attempt& run, const std::string& reason) {
+    attributes_.erase(run);
+    rejected_.emplace_back(rejected_run{run, reason}, 0);
+    news_ = true;
+}
+
+bool run_tracker::is_listed(const task_attempt& run) const {
+    return holds(active_, run) || holds(ended_, run);
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/source/job/task_placer.cpp
@@ -0,0 +1,133 @@
+#include <egretstile/core/job/task_placer.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace egretstile {
+
+namespace {
+
+/// Penalties in units of a whole VM's processor time, in the order in which they matter.
+constexpr double disliked_penalty = 50.0;
+constexpr double avoided_penalty = 20.0;
+/// Below the penalty of a VM that fails its tasks: remote data only slows a task down.
+constexpr double remote_rack_penalty = 2.0;
+constexpr double interference_penalty = 1.0;
+
+double reserved_share(const vm_state& vm) {
+    const double capacity = static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
+    return static_cast<double>(vm.reserved.cpu_millicores) / capacity;
+}
+
+double filling_share(const vm_state& vm) {
+    const double capacity = static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
+    return static_cast<double>(vm.filling_millicores()) / capacity;
+}
+
+double common_cost(const vm_state& vm, const placement_request& request, boot_time now) {
+    double cost = 0;
+    if (vm.name == request.disliked) {
+        cost += disliked_penalty;
+    }
+    if (vm.avoided_until > now) {
+        cost += avoided_penalty;
+    }
+    if (!request.step->preferred_rack.empty() && vm.runner.rack != request.step->preferred_rack) {
+        cost += remote_rack_penalty;
+    }
+    return cost;
+}
+
+/// A task that fills gets what the others leave and disturbs those that serve; one that serves goes
+/// where others do.
+double separating_cost(const vm_state& vm, const placement_request& request, boot_time now) {
+    const double cost = common_cost(vm, request, now);
+    if (request.step->fills_idle_cpu) {
+        return cost + reserved_share(vm) + filling_share(vm) +
+               (vm.has_serving_run() ? interference_penalty : 0.0);
+    }
+    if (request.step->target_latency_ms > 0) {
+        return cost + 2.0 * filling_share(vm) + 0.5 * reserved_share(vm) -
+               (vm.has_serving_run() ? interference_penalty : 0.0);
+    }
+    return cost + reserved_share(vm) + 0.3 * filling_share(vm);
+}
+
+template <typename Cost>
+vm_state* cheapest(const placement_request& request, vm_table& vms,
+                   const std::set<failure_domain_name>& closed_domains, Cost cost_of) {
+    vm_state* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto& [name, vm] : vms) {
+        if (!may_take(vm, request, closed_domains)) {
+            continue;
+        }
+        const double cost = cost_of(vm);
+        if (cost < best_cost) {
+            best = &vm;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+vm_state* separating_placer::choose(const placement_request& request, vm_table& vms,
+                                    const std::set<failure_domain_name>& closed_domains,
+                                    boot_time now) {
+    return cheapest(request, vms, closed_domains,
+                    [&](const vm_state& vm) { return separating_cost(vm, request, now); });
+}
+
+vm_state* spreading_placer::choose(const placement_request& request, vm_table& vms,
+                                   const std::set<failure_domain_name>& closed_domains,
+                                   boot_time now) {
+    return cheapest(request, vms, closed_domains, [&](const vm_state& vm) {
+        return common_cost(vm, request, now) + reserved_share(vm);
+    });
+}
+
+vm_run needs_of(const step_spec& step) {
+    vm_run needs;
+    needs.reserved = step.need;
+    needs.wanted_millicores = step.need.cpu_millicores;
+    needs.fills_idle_cpu = step.fills_idle_cpu;
+    needs.serves = step.target_latency_ms > 0;
+    if (step.fills_idle_cpu) {
+        needs.reserved.cpu_millicores = 0;
+    }
+    return needs;
+}
+
+bool may_take(const vm_state& vm, const placement_request& request,
+              const std::set<failure_domain_name>& closed_domains) {
+    const step_spec& step = *request.step;
+    if (!vm.usable || vm.runner.state != runner_state::ready ||
+        vm.runner.service != request.job->policy.service ||
+        closed_domains.count(vm.runner.failure_domain) != 0 || request.excluded.count(vm.name) != 0) {
+        return false;
+    }
+    if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
+        return false;
+    }
+    const std::vector<std::string>& labels = vm.runner.labels;
+    if (!step.required_label.empty() &&
+        std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
+        return false;
+    }
+    if (step.max_per_vm == 0) {
+        return true;
+    }
+    const task_ref first{request.task.job, request.task.occurrence, request.task.step, 0};
+    std::uint32_t beside = 0;
+    for (auto run = vm.runs.lower_bound({first, 0});
+         run != vm.runs.end() && run->first.task.job == first.job &&
+         run->first.task.occurrence == first.occurrence && run->first.task.step == first.step;
+         ++run) {
+        ++beside;
+    }
+    return beside < step.max_per_vm;
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/core/source/job/vm_table.cpp
@@ -0,0 +1,42 @@
+#include <egretstile/core/job/vm_table.hpp>
+
+#include <algorithm>
+
+namespace egretstile {
+
+void vm_state::add_run(const task_attempt& run, const vm_run& needs) {
+    if (runs.emplace(run, needs).second) {
+        reserved = reserved + needs.reserved;
+    }
+}
+
+bool vm_state::remove_run(const task_attempt& run) {
+    const auto found = runs.find(run);
+    if (found == runs.end()) {
+        return false;
+    }
+    reserved = reserved - found->second.reserved;
+    runs.erase(found);
+    return true;
+}
+
+std::int64_t vm_state::free_millicores() const {
+    return runner.capacity.cpu_millicores - reserved.cpu_millicores;
+}
+
+bool vm_state::has_serving_run() const {
+    return std::any_of(runs.begin(), runs.end(),
+                       [](const std::pair<const task_attempt, vm_run>& run) { return run.second.serves; });
+}
+
+std::int64_t vm_state::filling_millicores() const {
+    std::int64_t sum = 0;
+    for (const auto& [run, needs] : runs) {
+        if (needs.fills_idle_cpu) {
+            sum += needs.wanted_millicores;
+        }
+    }
+    return sum;
+}
+
+} // namespace egretstile
--- a/packages/daemon/source/agent/agent_process.cpp
+++ b/packages/daemon/source/agent/agent_process.cpp
@@ -1,8 +1,8 @@
 #include "agent/agent_process.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <algorithm>
 #include <cstdio>
--- a/packages/daemon/source/agent/agent_process.hpp
+++ b/packages/daemon/source/agent/agent_process.hpp
@@ -4,7 +4,7 @@
 #include "agent/upstream_client.hpp"
 #include "agent/upstream_monitor.hpp"
 #include "agent/worker_caller.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 #include "net/http_service.hpp"
 #include "settings/agent_settings.hpp"
 #include "telemetry/tracer.hpp"
@@ -12,7 +12,7 @@
 #include <egretstile/core/admission/admission_controller.hpp>
 #include <egretstile/core/admission/request_gate.hpp>
 #include <egretstile/core/base/boot_time.hpp>
-#include <egretstile/platform/worker/http_worker.hpp>
+#include <egretstile/infrastructure/worker/http_worker.hpp>
 
 #include <atomic>
 #include <map>
@@ -72,7 +72,7 @@
     incarnation_number incarnation_;
     event_loop loop_;
     tracer tracer_;
-    platform::http_worker worker_;
+    infrastructure::http_worker worker_;
     admission_controller admission_;
     request_gate gate_;
     upstream_monitor upstream_;
--- a/packages/daemon/source/agent/upstream_client.cpp
+++ b/packages/daemon/source/agent/upstream_client.cpp
@@ -1,6 +1,6 @@
 #include "agent/upstream_client.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/packages/daemon/source/agent/upstream_client.hpp
+++ b/packages/daemon/source/agent/upstream_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/blocking_pool.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 #include "settings/entry_settings.hpp"
 
 #include <egretstile/core/base/boot_time.hpp>
--- a/packages/daemon/source/agent/worker_caller.cpp
+++ b/packages/daemon/source/agent/worker_caller.cpp
@@ -1,8 +1,8 @@
 #include "agent/worker_caller.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <utility>
 
@@ -13,26 +13,26 @@
 /// Two status calls that time out; a shorter silence is normal while a VM is busy.
 constexpr milliseconds longest_silence{2000};
 
-call_result to_result(platform::worker_error error) {
+call_result to_result(infrastructure::worker_error error) {
     switch (error) {
-    case platform::worker_error::unavailable:
-    case platform::worker_error::refused:
+    case infrastructure::worker_error::unavailable:
+    case infrastructure::worker_error::refused:
         return call_result::refused;
-    case platform::worker_error::no_answer:
+    case infrastructure::worker_error::no_answer:
         return call_result::unknown;
     }
     return call_result::unknown;
 }
 
 template <typename Result>
-call_result result_of(const platform::worker_result<Result>& result) {
-    const platform::worker_error* const error = std::get_if<platform::worker_error>(&result);
+call_result result_of(const infrastructure::worker_result<Result>& result) {
+    const infrastructure::worker_error* const error = std::get_if<infrastructure::worker_error>(&result);
     return error == nullptr ? call_result::done : to_result(*error);
 }
 
-platform::worker_result<std::string>
-without_text(const platform::worker_result<std::monostate>& result) {
-    if (const platform::worker_error* const error = std::get_if<platform::worker_error>(&result)) {
+infrastructure::worker_result<std::string>
+without_text(const infrastructure::worker_result<std::monostate>& result) {
+    if (const infrastructure::worker_error* const error = std::get_if<infrastructure::worker_error>(&result)) {
         return *error;
     }
     return std::string();
@@ -40,7 +40,7 @@
 
 } // namespace
 
-worker_caller::worker_caller(event_loop& loop, platform::worker& target,
+worker_caller::worker_caller(event_loop& loop, infrastructure::worker& target,
                              incarnation_number incarnation, admission_controller& admission,
                              std::function<void(const task_run&, call_result)> on_started)
     : loop_(loop)
@@ -56,7 +56,7 @@
     status_in_flight_ = true;
     status_calls_.submit([this] {
         const boot_time sent_at = boot_now();
-        platform::worker_result<worker_status> result = worker_.status(incarnation_);
+        infrastructure::worker_result<worker_status> result = worker_.status(incarnation_);
         loop_.post([this, sent_at, result = std::move(result)] {
             status_in_flight_ = false;
             const worker_status* const status = std::get_if<worker_status>(&result);
@@ -128,7 +128,7 @@
 
 void worker_caller::act(const worker_action& action) {
     calls_.submit([this, action] {
-        const platform::worker_result<std::string> result = act_blocking(action);
+        const infrastructure::worker_result<std::string> result = act_blocking(action);
         const std::string* const checkpoint = std::get_if<std::string>(&result);
         loop_.post([this, action, outcome = result_of(result),
                     text = checkpoint == nullptr ? std::string() : *checkpoint] {
@@ -137,7 +137,7 @@
     });
 }
 
-platform::worker_result<std::string> worker_caller::act_blocking(const worker_action& action) {
+infrastructure::worker_result<std::string> worker_caller::act_blocking(const worker_action& action) {
     switch (action.kind) {
     case worker_action_kind::suspend:
         return worker_.suspend(incarnation_, action.run);
@@ -152,7 +152,7 @@
     case worker_action_kind::renew:
         return without_text(worker_.renew(incarnation_, {{action.run, action.lease_until}}));
     }
-    return platform::worker_error::refused;
+    return infrastructure::worker_error::refused;
 }
 
 void worker_caller::finish(const worker_action& action, call_result result,
--- a/packages/daemon/source/agent/worker_caller.hpp
+++ b/packages/daemon/source/agent/worker_caller.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "net/blocking_pool.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
 #include <egretstile/core/admission/admission_controller.hpp>
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/identifiers.hpp>
-#include <egretstile/platform/worker/worker.hpp>
+#include <egretstile/infrastructure/worker/worker.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -22,7 +22,7 @@
 class worker_caller {
 public:
     /// `on_started` follows each finished start call.
-    worker_caller(event_loop& loop, platform::worker& target, incarnation_number incarnation,
+    worker_caller(event_loop& loop, infrastructure::worker& target, incarnation_number incarnation,
                   admission_controller& admission,
                   std::function<void(const task_run&, call_result)> on_started);
 
@@ -48,11 +48,11 @@
 private:
     void renew(const std::vector<worker_action>& actions);
     void act(const worker_action& action);
-    platform::worker_result<std::string> act_blocking(const worker_action& action);
+    infrastructure::worker_result<std::string> act_blocking(const worker_action& action);
     void finish(const worker_action& action, call_result result, const std::string& checkpoint);
 
     event_loop& loop_;
-    platform::worker& worker_;
+    infrastructure::worker& worker_;
     incarnation_number incarnation_;
     admission_controller& admission_;
     std::function<void(const task_run&, call_result)> on_started_;
--- a/packages/daemon/source/entry/caller_api.cpp
+++ b/packages/daemon/source/entry/caller_api.cpp
@@ -4,7 +4,7 @@
 #include "entry/task_json.hpp"
 #include "net/loop_call.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/JSON/Object.h>
 #include <Poco/NumberParser.h>
--- a/packages/daemon/source/entry/entry_process.hpp
+++ b/packages/daemon/source/entry/entry_process.hpp
@@ -10,7 +10,7 @@
 #include "entry/scheduler.hpp"
 #include "entry/session.hpp"
 #include "entry/task_service.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 #include "net/frame_server.hpp"
 #include "net/http_service.hpp"
 #include "settings/entry_settings.hpp"
@@ -18,7 +18,7 @@
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/interference/interference_model.hpp>
-#include <egretstile/platform/key_value/http_key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/http_key_value_store.hpp>
 
 #include <atomic>
 #include <memory>
@@ -107,7 +107,7 @@
     event_loop loop_;
     tracer tracer_;
     entry_metrics metrics_;
-    platform::http_key_value_store store_;
+    infrastructure::http_key_value_store store_;
     fleet fleet_;
     member_directory directory_;
     plan_keeper plans_;
--- a/packages/daemon/source/entry/member_directory.cpp
+++ b/packages/daemon/source/entry/member_directory.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-member_directory::member_directory(event_loop& loop, platform::key_value_store& store,
+member_directory::member_directory(event_loop& loop, infrastructure::key_value_store& store,
                                    std::function<void()> on_changed)
     : loop_(loop)
     , store_(store)
@@ -98,8 +98,8 @@
 member_directory::refresh_blocking(std::optional<member> self, const std::set<entry_id>& watched,
                                    std::set<entry_id> ended) {
     refresh_result result;
-    const platform::store_result<platform::stored_value> read = store_.get(members_key);
-    const platform::stored_value* const stored = std::get_if<platform::stored_value>(&read);
+    const infrastructure::store_result<infrastructure::stored_value> read = store_.get(members_key);
+    const infrastructure::stored_value* const stored = std::get_if<infrastructure::stored_value>(&read);
     if (stored == nullptr) {
         return result;
     }
@@ -129,8 +129,8 @@
 }
 
 std::optional<bool> member_directory::session_exists(const entry_id& entry) {
-    const platform::store_result<platform::stored_value> read = store_.get(session_key(entry));
-    const platform::stored_value* const stored = std::get_if<platform::stored_value>(&read);
+    const infrastructure::store_result<infrastructure::stored_value> read = store_.get(session_key(entry));
+    const infrastructure::stored_value* const stored = std::get_if<infrastructure::stored_value>(&read);
     if (stored == nullptr) {
         return std::nullopt;
     }
@@ -163,8 +163,8 @@
 void member_directory::leave_blocking(const member& self) {
     constexpr int attempts = 3;
     for (int attempt = 0; attempt < attempts; ++attempt) {
-        const platform::store_result<platform::stored_value> read = store_.get(members_key);
-        const platform::stored_value* const stored = std::get_if<platform::stored_value>(&read);
+        const infrastructure::store_result<infrastructure::stored_value> read = store_.get(members_key);
+        const infrastructure::stored_value* const stored = std::get_if<infrastructure::stored_value>(&read);
         if (stored == nullptr) {
             continue;
         }
--- a/packages/daemon/source/entry/member_directory.hpp
+++ b/packages/daemon/source/entry/member_directory.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "net/blocking_pool.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/core/shard/member_list.hpp>
-#include <egretstile/platform/key_value/key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/key_value_store.hpp>
 
 #include <functional>
 #include <map>
@@ -21,7 +21,7 @@
 class member_directory {
 public:
     /// `on_changed` follows each change of the live members.
-    member_directory(event_loop& loop, platform::key_value_store& store,
+    member_directory(event_loop& loop, infrastructure::key_value_store& store,
                      std::function<void()> on_changed);
 
     void start();
@@ -59,7 +59,7 @@
     void leave_blocking(const member& self);
 
     event_loop& loop_;
-    platform::key_value_store& store_;
+    infrastructure::key_value_store& store_;
     std::function<void()> on_changed_;
     std::optional<member> self_;
     std::vector<member> live_;
--- a/packages/daemon/source/entry/operator_api.cpp
+++ b/packages/daemon/source/entry/operator_api.cpp
@@ -5,7 +5,7 @@
 #include "net/loop_call.hpp"
 
 #include <egretstile/core/plan/plan_edit.hpp>
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/packages/daemon/source/entry/peer_links.hpp
+++ b/packages/daemon/source/entry/peer_links.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "entry/task_service.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 #include "net/frame_client.hpp"
 #include "settings/entry_settings.hpp"
 
--- a/packages/daemon/source/entry/plan_keeper.cpp
+++ b/packages/daemon/source/entry/plan_keeper.cpp
@@ -1,8 +1,8 @@
 #include "entry/plan_keeper.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/wire/record/record_codec.hpp>
 
 #include <utility>
@@ -20,7 +20,7 @@
 
 } // namespace
 
-plan_keeper::plan_keeper(event_loop& loop, platform::key_value_store& store,
+plan_keeper::plan_keeper(event_loop& loop, infrastructure::key_value_store& store,
                          std::function<void()> on_changed)
     : loop_(loop)
     , store_(store)
@@ -46,18 +46,18 @@
     call_in_flight_ = true;
     calls_.submit([this] {
         const boot_time sent_at = boot_now();
-        const platform::store_result<platform::stored_value> read = store_.get(plan_key);
+        const infrastructure::store_result<infrastructure::stored_value> read = store_.get(plan_key);
         loop_.post([this, read, sent_at] {
             call_in_flight_ = false;
-            if (const platform::stored_value* const value =
-                    std::get_if<platform::stored_value>(&read)) {
+            if (const infrastructure::stored_value* const value =
+                    std::get_if<infrastructure::stored_value>(&read)) {
                 take(*value, sent_at);
             }
         });
     });
 }
 
-void plan_keeper::take(const platform::stored_value& value, boot_time sent_at) {
+void plan_keeper::take(const infrastructure::stored_value& value, boot_time sent_at) {
     if (value.revision < view_.revision()) {
         write_log(log_part::plan, log_level::error, "Ignored a lower plan revision.",
                   "revision=" + std::to_string(value.revision) +
@@ -86,9 +86,9 @@
 void plan_keeper::watch_changes() {
     while (!stopped_) {
         const revision_number known = watched_revision_;
-        const platform::store_result<platform::stored_value> read =
+        const infrastructure::store_result<infrastructure::stored_value> read =
             store_.watch(plan_key, known, watch_wait);
-        const platform::stored_value* const value = std::get_if<platform::stored_value>(&read);
+        const infrastructure::stored_value* const value = std::get_if<infrastructure::stored_value>(&read);
         if (value == nullptr) {
             std::this_thread::sleep_for(pause_after_failed_watch);
             continue;
@@ -105,8 +105,8 @@
     change_result result;
     for (int attempt = 0; attempt < change_attempts; ++attempt) {
         const boot_time sent_at = boot_now();
-        const platform::store_result<platform::stored_value> read = store_.get(plan_key);
-        const platform::stored_value* const stored = std::get_if<platform::stored_value>(&read);
+        const infrastructure::store_result<infrastructure::stored_value> read = store_.get(plan_key);
+        const infrastructure::stored_value* const stored = std::get_if<infrastructure::stored_value>(&read);
         if (stored == nullptr) {
             continue;
         }
@@ -129,18 +129,18 @@
         }
         changed->version = decoded->version + 1;
         changed->change_id = change_id;
-        const platform::store_result<revision_number> written = store_.compare_and_swap(
+        const infrastructure::store_result<revision_number> written = store_.compare_and_swap(
             plan_key, stored->revision, wire::encode_record(*changed), std::nullopt);
         if (const revision_number* const revision = std::get_if<revision_number>(&written)) {
             loop_.post([this] { confirm(); });
             return {change_outcome::accepted, *changed, *revision};
         }
-        const platform::store_error error = std::get<platform::store_error>(written);
-        if (error == platform::store_error::no_answer) {
+        const infrastructure::store_error error = std::get<infrastructure::store_error>(written);
+        if (error == infrastructure::store_error::no_answer) {
             // The next round reads the plan and looks for the change id.
             result.outcome = change_outcome::unknown;
         } else if (result.outcome != change_outcome::unknown) {
-            result.outcome = error == platform::store_error::conflict ? change_outcome::conflict
+            result.outcome = error == infrastructure::store_error::conflict ? change_outcome::conflict
                                                                       : change_outcome::unavailable;
         }
     }
--- a/packages/daemon/source/entry/plan_keeper.hpp
+++ b/packages/daemon/source/entry/plan_keeper.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "net/blocking_pool.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/core/plan/plan.hpp>
 #include <egretstile/core/plan/plan_view.hpp>
-#include <egretstile/platform/key_value/key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/key_value_store.hpp>
 
 #include <atomic>
 #include <functional>
@@ -43,7 +43,7 @@
     using edit = std::function<std::optional<plan>(const plan&)>;
 
     /// `on_changed` follows each new revision, on the loop's thread.
-    plan_keeper(event_loop& loop, platform::key_value_store& store,
+    plan_keeper(event_loop& loop, infrastructure::key_value_store& store,
                 std::function<void()> on_changed);
     plan_keeper(const plan_keeper&) = delete;
     plan_keeper& operator=(const plan_keeper&) = delete;
@@ -66,11 +66,11 @@
 
 private:
     void confirm();
-    void take(const platform::stored_value& value, boot_time sent_at);
+    void take(const infrastructure::stored_value& value, boot_time sent_at);
     void watch_changes();
 
     event_loop& loop_;
-    platform::key_value_store& store_;
+    infrastructure::key_value_store& store_;
     std::function<void()> on_changed_;
     plan_view view_;
     plan plan_;
--- a/packages/daemon/source/entry/plan_runner.cpp
+++ b/packages/daemon/source/entry/plan_runner.cpp
@@ -1,6 +1,6 @@
 #include "entry/plan_runner.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <egretstile/core/plan/occurrence.hpp>
 
--- a/packages/daemon/source/entry/request_service.cpp
+++ b/packages/daemon/source/entry/request_service.cpp
@@ -1,6 +1,6 @@
 #include "entry/request_service.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/packages/daemon/source/entry/request_service.hpp
+++ b/packages/daemon/source/entry/request_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "entry/fleet.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 #include "settings/entry_settings.hpp"
 
 #include <egretstile/core/admission/refusal.hpp>
--- a/packages/daemon/source/entry/scheduler.cpp
+++ b/packages/daemon/source/entry/scheduler.cpp
@@ -1,6 +1,6 @@
 #include "entry/scheduler.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <egretstile/core/placement/make_placement_strategy.hpp>
 
--- a/packages/daemon/source/entry/session.cpp
+++ b/packages/daemon/source/entry/session.cpp
@@ -1,8 +1,8 @@
 #include "entry/session.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/Random.h>
 
@@ -28,7 +28,7 @@
     return "session/" + entry;
 }
 
-session::session(event_loop& loop, platform::key_value_store& store, const lease_terms& terms,
+session::session(event_loop& loop, infrastructure::key_value_store& store, const lease_terms& terms,
                  const std::string& entry_name, handlers callbacks)
     : loop_(loop)
     , store_(store)
@@ -70,12 +70,12 @@
     const entry_id id = next_id();
     calls_.submit([this, id] {
         const boot_time sent_at = boot_now();
-        platform::store_result<platform::lease_id> lease = store_.grant_lease(terms_.session_ttl);
-        if (const platform::lease_id* const granted = std::get_if<platform::lease_id>(&lease)) {
-            const platform::store_result<revision_number> written =
+        infrastructure::store_result<infrastructure::lease_id> lease = store_.grant_lease(terms_.session_ttl);
+        if (const infrastructure::lease_id* const granted = std::get_if<infrastructure::lease_id>(&lease)) {
+            const infrastructure::store_result<revision_number> written =
                 store_.compare_and_swap(session_key(id), 0, id, *granted);
-            if (const platform::store_error* const error =
-                    std::get_if<platform::store_error>(&written)) {
+            if (const infrastructure::store_error* const error =
+                    std::get_if<infrastructure::store_error>(&written)) {
                 lease = *error;
             }
         }
@@ -83,13 +83,13 @@
     });
 }
 
-void session::opened(const entry_id& id, const platform::store_result<platform::lease_id>& result,
+void session::opened(const entry_id& id, const infrastructure::store_result<infrastructure::lease_id>& result,
                      boot_time sent_at) {
     call_in_flight_ = false;
-    if (std::holds_alternative<platform::store_error>(result)) {
+    if (std::holds_alternative<infrastructure::store_error>(result)) {
         return;
     }
-    lease_ = std::get<platform::lease_id>(result);
+    lease_ = std::get<infrastructure::lease_id>(result);
     id_ = id;
     write_log(log_part::membership, log_level::info, "Opened a session.", "entry=" + id_);
     handlers_.on_opened(id_, sent_at);
@@ -98,19 +98,19 @@
 void session::renew() {
     calls_.submit([this, lease = *lease_] {
         const boot_time sent_at = boot_now();
-        const platform::store_result<std::monostate> result = store_.renew_lease(lease);
+        const infrastructure::store_result<std::monostate> result = store_.renew_lease(lease);
         loop_.post([this, result, sent_at] { renewed(result, sent_at); });
     });
 }
 
-void session::renewed(const platform::store_result<std::monostate>& result, boot_time sent_at) {
+void session::renewed(const infrastructure::store_result<std::monostate>& result, boot_time sent_at) {
     call_in_flight_ = false;
-    const platform::store_error* const error = std::get_if<platform::store_error>(&result);
+    const infrastructure::store_error* const error = std::get_if<infrastructure::store_error>(&result);
     if (error == nullptr) {
         handlers_.on_renewed(sent_at);
         return;
     }
-    if (*error == platform::store_error::not_found) {
+    if (*error == infrastructure::store_error::not_found) {
         write_log(log_part::membership, log_level::warning, "The session has ended.",
                   "entry=" + id_);
         lease_.reset();
--- a/packages/daemon/source/entry/session.hpp
+++ b/packages/daemon/source/entry/session.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "net/blocking_pool.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/core/base/terms.hpp>
-#include <egretstile/platform/key_value/key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/key_value_store.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -34,7 +34,7 @@
         std::function<void()> on_lost;
     };
 
-    session(event_loop& loop, platform::key_value_store& store, const lease_terms& terms,
+    session(event_loop& loop, infrastructure::key_value_store& store, const lease_terms& terms,
             const std::string& entry_name, handlers callbacks);
 
     /// Opens the session and keeps it.
@@ -50,20 +50,20 @@
 private:
     void maintain();
     void open();
-    void opened(const entry_id& id, const platform::store_result<platform::lease_id>& result,
+    void opened(const entry_id& id, const infrastructure::store_result<infrastructure::lease_id>& result,
                 boot_time sent_at);
     void renew();
-    void renewed(const platform::store_result<std::monostate>& result, boot_time sent_at);
+    void renewed(const infrastructure::store_result<std::monostate>& result, boot_time sent_at);
     entry_id next_id();
 
     event_loop& loop_;
-    platform::key_value_store& store_;
+    infrastructure::key_value_store& store_;
     lease_terms terms_;
     std::string entry_name_;
     std::string process_tag_;
     handlers handlers_;
     entry_id id_;
-    std::optional<platform::lease_id> lease_;
+    std::optional<infrastructure::lease_id> lease_;
     std::uint32_t sessions_opened_{0};
     bool call_in_flight_{false};
     bool closing_{false};
--- a/packages/daemon/source/entry/shard_host.cpp
+++ b/packages/daemon/source/entry/shard_host.cpp
@@ -1,8 +1,8 @@
 #include "entry/shard_host.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/wire/record/record_codec.hpp>
 
 #include <utility>
@@ -23,13 +23,13 @@
 
 /// Whether a write with this error may have taken effect, now or later. A conflict may come from an
 /// earlier write of the same record.
-bool is_in_doubt(platform::store_error error) {
-    return error == platform::store_error::no_answer || error == platform::store_error::conflict;
+bool is_in_doubt(infrastructure::store_error error) {
+    return error == infrastructure::store_error::no_answer || error == infrastructure::store_error::conflict;
 }
 
 } // namespace
 
-shard_host::shard_host(event_loop& loop, platform::key_value_store& store, blocking_pool& calls,
+shard_host::shard_host(event_loop& loop, infrastructure::key_value_store& store, blocking_pool& calls,
                        shard_number shard, const lease_terms& terms, const ledger_limits& limits,
                        milliseconds commit_interval,
                        std::function<void(const task_key&)> on_committed)
@@ -100,7 +100,7 @@
 
 void shard_host::take_record(const read_result& read,
                              const std::function<bool(const entry_id&)>& session_ended) {
-    const platform::stored_value* const stored = std::get_if<platform::stored_value>(&read);
+    const infrastructure::stored_value* const stored = std::get_if<infrastructure::stored_value>(&read);
     if (stored == nullptr) {
         return;
     }
@@ -228,8 +228,8 @@
         attempt.sent_at = boot_now();
         attempt.written =
             store_.compare_and_swap(shard_key(shard_), expected, shared->bytes, std::nullopt);
-        const platform::store_error* const error =
-            std::get_if<platform::store_error>(&attempt.written);
+        const infrastructure::store_error* const error =
+            std::get_if<infrastructure::store_error>(&attempt.written);
         if (error != nullptr && is_in_doubt(*error)) {
             attempt.sent_at = boot_now();
             attempt.read = store_.get(shard_key(shard_));
@@ -248,12 +248,12 @@
         pending.done(attempt.sent_at, *revision);
         return;
     }
-    if (!is_in_doubt(std::get<platform::store_error>(attempt.written))) {
+    if (!is_in_doubt(std::get<infrastructure::store_error>(attempt.written))) {
         pause();
         pending.failed();
         return;
     }
-    const platform::stored_value* const stored = std::get_if<platform::stored_value>(&attempt.read);
+    const infrastructure::stored_value* const stored = std::get_if<infrastructure::stored_value>(&attempt.read);
     if (stored == nullptr || stored->revision == revision_) {
         // The write may still arrive. Only the same record may follow it: whichever of the two
         // writes comes second meets another revision and finds its own bytes.
--- a/packages/daemon/source/entry/shard_host.hpp
+++ b/packages/daemon/source/entry/shard_host.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/blocking_pool.hpp"
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/identifiers.hpp>
@@ -9,7 +9,7 @@
 #include <egretstile/core/shard/shard_ownership.hpp>
 #include <egretstile/core/shard/shard_record.hpp>
 #include <egretstile/core/task/shard_ledger.hpp>
-#include <egretstile/platform/key_value/key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/key_value_store.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -27,7 +27,7 @@
     /// `on_committed` gets each key whose committed state changed.
     /// A commit is started at least `commit_interval` after the one before, whichever entry owns
     /// the shard, so that the shards together stay below the service's write rate.
-    shard_host(event_loop& loop, platform::key_value_store& store, blocking_pool& calls,
+    shard_host(event_loop& loop, infrastructure::key_value_store& store, blocking_pool& calls,
                shard_number shard, const lease_terms& terms, const ledger_limits& limits,
                milliseconds commit_interval, std::function<void(const task_key&)> on_committed);
 
@@ -75,8 +75,8 @@
     void advance();
 
 private:
-    using read_result = platform::store_result<platform::stored_value>;
-    using write_result = platform::store_result<revision_number>;
+    using read_result = infrastructure::store_result<infrastructure::stored_value>;
+    using write_result = infrastructure::store_result<revision_number>;
 
     void read_record(const std::function<bool(const entry_id&)>& session_ended);
     void take_record(const read_result& read,
@@ -96,9 +96,9 @@
     };
 
     struct write_attempt {
-        write_result written{platform::store_error::unavailable};
+        write_result written{infrastructure::store_error::unavailable};
         /// Read after a write that is in doubt.
-        read_result read{platform::store_error::unavailable};
+        read_result read{infrastructure::store_error::unavailable};
         /// Of the write, or of the read after it.
         boot_time sent_at;
     };
@@ -112,7 +112,7 @@
     void pause();
 
     event_loop& loop_;
-    platform::key_value_store& store_;
+    infrastructure::key_value_store& store_;
     blocking_pool& calls_;
     shard_number shard_;
     lease_terms terms_;
--- a/packages/daemon/source/entry/sheet_api.cpp
+++ b/packages/daemon/source/entry/sheet_api.cpp
@@ -5,7 +5,7 @@
 
 #include <egretstile/core/plan/plan_diff.hpp>
 #include <egretstile/core/plan/plan_edit.hpp>
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/sheet/report/sheet_report.hpp>
 #include <egretstile/sheet/sheet/sheet_reader.hpp>
 #include <egretstile/sheet/sheet/sheet_writer.hpp>
--- a/packages/daemon/source/entry/task_service.cpp
+++ b/packages/daemon/source/entry/task_service.cpp
@@ -1,9 +1,9 @@
 #include "entry/task_service.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <egretstile/core/shard/shard_map.hpp>
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <utility>
 #include <variant>
@@ -25,7 +25,7 @@
     return shard_of(std::string_view(key).substr(0, key.find('#')), shard_count);
 }
 
-task_service::task_service(event_loop& loop, platform::key_value_store& store,
+task_service::task_service(event_loop& loop, infrastructure::key_value_store& store,
                            const entry_settings& settings, fleet& known_fleet)
     : loop_(loop)
     , settings_(settings)
--- /dev/null
+++ b/packages/daemon/source/jobs/control_view.cpp
@@ -0,0 +1,78 @@
+#include "jobs/control_view.hpp"
+
+#include "jobs/store_keys.hpp"
+
+#include <Poco/RandomStream.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+using namespace infrastructure;
+
+constexpr milliseconds commit_timeout{1000};
+constexpr std::size_t peer_key_bytes = 32;
+
+std::string random_key() {
+    std::string key(peer_key_bytes, '\0');
+    Poco::RandomInputStream random;
+    random.read(key.data(), static_cast<std::streamsize>(key.size()));
+    return key;
+}
+
+epoch_number parse_epoch(const std::string& text) {
+    epoch_number epoch{0};
+    std::from_chars(text.data(), text.data() + text.size(), epoch);
+    return epoch;
+}
+
+} // namespace
+
+control_view::control_view(event_loop& loop, coordination_store& store, milliseconds watch_wait,
+                           std::function<void()> on_change)
+    : store_(store)
+    , on_change_(std::move(on_change))
+    , view_(loop, store, store_keys::control_prefix, watch_wait,
+            {[this](const store_item& item) { take_change(item); }, [this] { listed(); }}) {}
+
+void control_view::take_change(const store_item& item) {
+    if (item.key == store_keys::epoch) {
+        epoch_ = parse_epoch(item.value);
+        epoch_revision_ = item.revision;
+    } else if (item.key == store_keys::peer_key) {
+        peer_key_ = item.value;
+    } else if (item.key == store_keys::leader) {
+        leader_revision_ = item.revision;
+        leader_ = item.revision == 0 ? std::nullopt : decode_leader(item.value);
+    }
+    if (is_known()) {
+        on_change_();
+    }
+}
+
+void control_view::listed() {
+    if (peer_key_.empty()) {
+        make_peer_key();
+    }
+    on_change_();
+}
+
+void control_view::make_peer_key() {
+    const std::weak_ptr<int> alive = alive_;
+    store_transaction transaction;
+    transaction.expected = {{store_keys::peer_key, 0}};
+    transaction.writes = {{store_keys::peer_key, random_key(), no_lease}};
+    // Whichever process was first, the watch brings the key.
+    store_.commit(transaction, commit_timeout,
+                  [this, alive](std::variant<store_commit, store_conflict, store_error>&& result) {
+                      if (!alive.expired() && std::holds_alternative<store_error>(result)) {
+                          view_.refresh();
+                      }
+                  });
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -0,0 +1,289 @@
+#include "jobs/job_agent_process.hpp"
+
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+using namespace infrastructure;
+
+/// An agent hears of a new leader by the watch; one that is silent is noticed by the connection.
+constexpr milliseconds control_watch_wait{10000};
+/// Above the interval of reports, each of which is answered.
+constexpr milliseconds leader_silence{1500};
+constexpr milliseconds report_interval{500};
+/// Ends that come together are reported together.
+constexpr milliseconds report_delay{5};
+/// The runner answers at an end or after this; renews the lease of 3 s well before it ends.
+constexpr milliseconds renewal_wait{400};
+constexpr milliseconds renewal_pause{100};
+constexpr milliseconds work_interval{50};
+/// Lost sight of the leader: the control keys are read again this often.
+constexpr milliseconds search_interval{400};
+
+std::string fields_of(const task_attempt& run) {
+    return "job=" + run.task.job + " task=" + to_string(run.task) +
+           " attempt=" + std::to_string(run.attempt);
+}
+
+} // namespace
+
+job_agent_process::job_agent_process(job_agent_settings settings, const platform_access& platform)
+    : settings_(std::move(settings))
+    , platform_(platform)
+    , store_(platform_.make_store(loop_, settings_.common.store))
+    , runner_(platform_.make_runner(loop_, settings_.runner))
+    , link_(loop_, {wire::peer_role::agent, settings_.common.vm, 0}, leader_silence,
+            {[this](wire::message&& message) {
+                 if (const vm_orders* const orders = std::get_if<vm_orders>(&message)) {
+                     take_orders(*orders);
+                 }
+             },
+             [this] { report(); }})
+    , control_(loop_, *store_, control_watch_wait,
+               [this] { link_.follow(control_.leader(), control_.peer_key()); })
+    , registrations_(loop_, settings_.registration, {},
+                     [this](http_request&& request, http_server::responder respond) {
+                         take_registration(std::move(request), std::move(respond));
+                     }) {}
+
+void job_agent_process::run() {
+    control_.start();
+    loop_.call_every(work_interval, [this] { work(); });
+    loop_.call_every(search_interval, [this] {
+        if (!link_.is_open() && control_.is_connected()) {
+            control_.refresh();
+        }
+    });
+    write_log(log_part::process, log_level::info, "The agent has started.",
+              "vm=" + settings_.common.vm + " domain=" + settings_.common.failure_domain);
+    loop_.run();
+    write_log(log_part::process, log_level::info, "The agent has stopped.", "vm=" + settings_.common.vm);
+}
+
+void job_agent_process::request_stop() {
+    // Nothing is in progress that would be lost: the runner goes on under its lease.
+    loop_.stop();
+}
+
+void job_agent_process::take_registration(http_request&& request, http_server::responder respond) {
+    const std::variant<runner_heartbeat, runner_departure, malformed_call> call =
+        platform_.registrations().decode(request.method, request.path, request.body);
+    http_response response;
+    response.headers["Content-Type"] = "application/json";
+    response.body = "{}";
+    if (const malformed_call* const malformed = std::get_if<malformed_call>(&call)) {
+        write_log(log_part::worker, log_level::warning, "Ignored a call of the runner.",
+                  "reason=\"" + malformed->reason + "\"");
+        response.status = 400;
+    } else if (const runner_departure* const departure = std::get_if<runner_departure>(&call)) {
+        write_log(log_part::worker, log_level::info, "The runner ends.", "runner=" + departure->runner_id);
+        if (departure->runner_id == runner_id_) {
+            tracker_.runner_gone();
+            report_soon();
+        }
+    } else {
+        take_heartbeat(std::get<runner_heartbeat>(call));
+    }
+    respond(std::move(response));
+}
+
+void job_agent_process::take_heartbeat(const runner_heartbeat& heartbeat) {
+    const bool same_life = heartbeat.runner_id == runner_id_ && heartbeat.born_ms == runner_born_ms_;
+    if (same_life && heartbeat.sequence < heartbeat_sequence_) {
+        return; // Overtaken by a later one.
+    }
+    if (!same_life && heartbeat.born_ms < runner_born_ms_) {
+        return; // From an earlier life, held up on its way.
+    }
+    if (!same_life) {
+        write_log(log_part::worker, log_level::info, "A runner registers.",
+                  "runner=" + heartbeat.runner_id + " born_ms=" + std::to_string(heartbeat.born_ms) +
+                      " service=" + heartbeat.registration.service);
+        renewals_failed_ = 0;
+    }
+    runner_id_ = heartbeat.runner_id;
+    runner_born_ms_ = heartbeat.born_ms;
+    heartbeat_sequence_ = heartbeat.sequence;
+    tracker_.registered(heartbeat.registration);
+    renew();
+    if (tracker_.take_news()) {
+        report_soon();
+    }
+}
+
+void job_agent_process::take_orders(const vm_orders& orders) {
+    if (!tracker_.take_orders(orders, boot_now())) {
+        return;
+    }
+    work();
+}
+
+void job_agent_process::work() {
+    send_starts();
+    send_stops();
+    renew();
+    if (tracker_.take_news() || boot_now() >= reported_at_ + report_interval) {
+        report_soon();
+    }
+}
+
+void job_agent_process::send_starts() {
+    while (const std::optional<start_order> order = tracker_.next_start()) {
+        send_start(*order);
+    }
+}
+
+void job_agent_process::send_start(const start_order& order) {
+    const std::optional<std::int64_t> lease = tracker_.lease_until_ms(boot_now());
+    if (!lease) {
+        tracker_.start_rejected(order.run, "no_permission");
+        return;
+    }
+    run_start start;
+    start.run = order.run;
+    start.payload = order.payload;
+    start.checkpoint = order.checkpoint;
+    start.ticket = order.ticket;
+    start.lease_until_ms = *lease;
+    start.runner_id = runner_id_;
+    const std::string life = tracker_.registration().life;
+    runner_->start(start, tracker_.epoch(),
+                   [this, run = order.run, life](std::variant<runner_done, runner_refusal>&& answer) {
+                       if (life == tracker_.registration().life) {
+                           take_start_answer(run, std::move(answer));
+                       }
+                   });
+}
+
+void job_agent_process::take_start_answer(const task_attempt& run,
+                                          std::variant<runner_done, runner_refusal>&& answer) {
+    if (const runner_done* const done = std::get_if<runner_done>(&answer)) {
+        tracker_.start_done(run, done->clock_ms);
+        return;
+    }
+    const runner_refusal refusal = std::get<runner_refusal>(answer);
+    write_log(log_part::worker, log_level::info, "The runner did not start a task.",
+              fields_of(run) + " reason=" + std::string(name_of(runner_refusal_names, refusal)));
+    if (refusal == runner_refusal::no_answer) {
+        tracker_.start_unanswered(run);
+    } else if (refusal == runner_refusal::old_run) {
+        // A repeated start may find its own run ended; the lists tell.
+        tracker_.start_unanswered(run);
+    } else {
+        tracker_.start_rejected(run, std::string(name_of(runner_refusal_names, refusal)));
+    }
+    report_soon();
+}
+
+void job_agent_process::send_stops() {
+    while (const std::optional<task_attempt> run = tracker_.next_stop()) {
+        const std::string life = tracker_.registration().life;
+        runner_->stop(*run, tracker_.epoch(),
+                      [this, run = *run, life](std::variant<runner_done, runner_refusal>&& answer) {
+                          if (life != tracker_.registration().life) {
+                              return;
+                          }
+                          if (const runner_done* const done = std::get_if<runner_done>(&answer)) {
+                              tracker_.stop_done(run, done->clock_ms);
+                          } else {
+                              tracker_.stop_unanswered(run);
+                          }
+                      });
+    }
+}
+
+void job_agent_process::renew() {
+    if (renewing_ || tracker_.epoch() == 0 || runner_id_.empty() ||
+        tracker_.registration().state == runner_state::absent) {
+        return;
+    }
+    renewing_ = true;
+    lease_renewal renewal;
+    renewal.lease_until_ms = tracker_.lease_until_ms(boot_now()).value_or(0);
+    renewal.acknowledged_ends = tracker_.acknowledged_ends();
+    renewal.wait = tracker_.lists_known() ? renewal_wait : milliseconds(0);
+    const std::string life = tracker_.registration().life;
+    runner_->renew(renewal, tracker_.epoch(),
+                   [this, life](std::variant<runner_lists, runner_refusal>&& answer) {
+                       renewing_ = false;
+                       if (life != tracker_.registration().life) {
+                           return;
+                       }
+                       if (const runner_refusal* const refusal = std::get_if<runner_refusal>(&answer)) {
+                           take_renewal_failure(*refusal);
+                       } else {
+                           take_lists(std::get<runner_lists>(std::move(answer)));
+                       }
+                   });
+}
+
+void job_agent_process::take_lists(runner_lists&& lists) {
+    renewals_failed_ = 0;
+    if (lists.born_ms != 0 && lists.born_ms != runner_born_ms_) {
+        return; // A life that has not registered yet.
+    }
+    tracker_.lists_read(lists.clock_ms, std::move(lists.active), std::move(lists.ended), boot_now());
+    guard_latency();
+    if (tracker_.take_news()) {
+        report_soon();
+    }
+    work();
+}
+
+void job_agent_process::take_renewal_failure(runner_refusal refusal) {
+    if (renewals_failed_++ == 0) {
+        write_log(log_part::worker, log_level::warning, "The runner does not answer.",
+                  "reason=" + std::string(name_of(runner_refusal_names, refusal)));
+    }
+    if (refusal == runner_refusal::no_answer || refusal == runner_refusal::not_sent) {
+        if (tracker_.lists_known() && tracker_.has_lapsed(boot_now())) {
+            write_log(log_part::worker, log_level::warning, "The runner's last lease has ended.",
+                      "runner=" + runner_id_);
+            tracker_.runner_gone();
+            report_soon();
+        }
+    }
+}
+
+void job_agent_process::guard_latency() {
+    std::vector<guarded_run> runs;
+    for (const active_run& active : tracker_.active()) {
+        if (const start_order* const known = tracker_.attributes(active.run)) {
+            const bool serves = known->target_latency_ms > 0;
+            runs.push_back({active.run, known->fills_idle_cpu, known->target_latency_ms,
+                            serves ? active.load : 0});
+        }
+    }
+    for (const speed_change& change : guard_.update(runs, boot_now())) {
+        write_log(log_part::worker, log_level::info, "Changes the speed of a task.",
+                  fields_of(change.run) + " percent=" + std::to_string(change.percent));
+        runner_->throttle(change.run, change.percent, tracker_.epoch(),
+                          [this, run = change.run](std::variant<runner_done, runner_refusal>&& answer) {
+                              if (std::holds_alternative<runner_refusal>(answer)) {
+                                  guard_.change_failed(run);
+                              }
+                          });
+    }
+}
+
+void job_agent_process::report_soon() {
+    if (!std::exchange(report_requested_, true)) {
+        loop_.call_at(boot_now() + report_delay, [this] { report(); });
+    }
+}
+
+void job_agent_process::report() {
+    report_requested_ = false;
+    reported_at_ = boot_now();
+    if (link_.is_open()) {
+        link_.send(tracker_.make_report(settings_.common.vm, reported_at_));
+    }
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "jobs/control_view.hpp"
+#include "jobs/leader_link.hpp"
+#include "settings/job_settings.hpp"
+
+#include <egretstile/core/interference/latency_guard.hpp>
+#include <egretstile/core/job/run_tracker.hpp>
+#include <egretstile/runtime/http/http_server.hpp>
+#include <egretstile/runtime/net/event_loop.hpp>
+#include <egretstile/runtime/platform_access.hpp>
+
+#include <memory>
+#include <string>
+
+namespace egretstile::daemon {
+
+/// A process beside a runner: takes its registration, carries out the leader's orders and reports
+/// what runs. `request_stop` is thread-safe; everything else is for one thread.
+class job_agent_process {
+public:
+    job_agent_process(job_agent_settings settings, const platform_access& platform);
+    job_agent_process(const job_agent_process&) = delete;
+    job_agent_process& operator=(const job_agent_process&) = delete;
+    job_agent_process(job_agent_process&&) = delete;
+    job_agent_process& operator=(job_agent_process&&) = delete;
+    ~job_agent_process() = default;
+
+    /// Runs until the process has stopped.
+    void run();
+    void request_stop();
+
+private:
+    void take_registration(http_request&& request, http_server::responder respond);
+    void take_heartbeat(const infrastructure::runner_heartbeat& heartbeat);
+    void take_orders(const vm_orders& orders);
+    void work();
+    void send_starts();
+    void send_start(const start_order& order);
+    void take_start_answer(const task_attempt& run,
+                           std::variant<infrastructure::runner_done,
+                                        infrastructure::runner_refusal>&& answer);
+    void send_stops();
+    void renew();
+    void take_lists(infrastructure::runner_lists&& lists);
+    void take_renewal_failure(infrastructure::runner_refusal refusal);
+    void guard_latency();
+    void report();
+    void report_soon();
+
+    job_agent_settings settings_;
+    event_loop loop_;
+    const platform_access& platform_;
+    std::unique_ptr<infrastructure::coordination_store> store_;
+    std::unique_ptr<infrastructure::task_runner> runner_;
+    run_tracker tracker_;
+    latency_guard guard_;
+    leader_link link_;
+    control_view control_;
+    http_server registrations_;
+    std::string runner_id_;
+    std::int64_t runner_born_ms_{0};
+    std::uint64_t heartbeat_sequence_{0};
+    bool renewing_{false};
+    bool report_requested_{false};
+    boot_time reported_at_{};
+    std::uint64_t renewals_failed_{0};
+};
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -0,0 +1,195 @@
+#include "jobs/job_entry_process.hpp"
+
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
+
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+using namespace infrastructure;
+
+/// A configuration must be in force within 2 s, also when a watch goes silent.
+constexpr milliseconds operator_watch_wait{1000};
+constexpr milliseconds control_watch_wait{2000};
+constexpr milliseconds ping_interval{500};
+/// Three pings; a leader that is merely slow keeps its connections.
+constexpr milliseconds leader_silence{1700};
+/// After the stop signal new connections still come until the balancer has asked twice.
+constexpr milliseconds balancer_delay{2600};
+constexpr milliseconds stop_poll{50};
+
+} // namespace
+
+job_entry_process::job_entry_process(job_entry_settings settings, const platform_access& platform)
+    : settings_(std::move(settings))
+    , platform_(platform)
+    , store_(platform_.make_store(loop_, settings_.common.store))
+    , link_(loop_, own_hello(), leader_silence,
+            {[this](wire::message&& message) { access_.take_message(message); }, [] {}})
+    , access_(loop_, link_)
+    , operators_(loop_, *store_, platform_.operators(), operator_watch_wait,
+                 [this] { operators_changed(); })
+    , control_(loop_, *store_, control_watch_wait, [this] { control_changed(); })
+    , election_(loop_, *store_, control_, {}, settings_.common.vm, peer_address(),
+                {[this](const leadership& won) { elected(won); }, [this] { deposed(); }})
+    , front_(loop_, *store_, platform_.callers(), operators_, access_, {})
+    , callers_(loop_, settings_.callers, {},
+               [this](http_request&& request, http_server::responder respond) {
+                   front_.handle(std::move(request), std::move(respond));
+               })
+    , readiness_(loop_, settings_.readiness, {},
+                 [this](http_request&& request, http_server::responder respond) {
+                     answer_readiness(std::move(request), std::move(respond));
+                 }) {}
+
+void job_entry_process::run() {
+    operators_.start();
+    control_.start();
+    loop_.call_every(ping_interval, [this] {
+        if (leader_ == nullptr) {
+            link_.send(wire::leader_ping{++pings_});
+        }
+    });
+    write_log(log_part::process, log_level::info, "The entry has started.",
+              "vm=" + settings_.common.vm + " domain=" + settings_.common.failure_domain);
+    loop_.run();
+    write_log(log_part::process, log_level::info, "The entry has stopped.", "vm=" + settings_.common.vm);
+}
+
+void job_entry_process::request_stop() {
+    loop_.post([this] { begin_stop(); });
+}
+
+wire::hello job_entry_process::own_hello() const {
+    return {wire::peer_role::entry, settings_.common.vm, 0};
+}
+
+void job_entry_process::control_changed() {
+    start_peer_server();
+    const std::optional<leader_record>& leader = control_.leader();
+    const bool leads_itself = leader && leader->name == settings_.common.vm;
+    link_.follow(leads_itself ? std::nullopt : leader, control_.peer_key());
+    if (peer_server_ != nullptr) {
+        election_.control_changed();
+    }
+}
+
+void job_entry_process::start_peer_server() {
+    if (peer_server_ != nullptr || control_.peer_key().empty()) {
+        return;
+    }
+    peer_server_ = std::make_unique<frame_server>(
+        loop_, peer_address(), control_.peer_key(), own_hello(),
+        frame_connection::handlers{
+            [this](frame_connection& connection, wire::message&& message) {
+                take_peer_message(connection, std::move(message));
+            },
+            [this](frame_connection& connection, const wire::hello& hello) {
+                peer_opened(connection, hello);
+            },
+            [this](frame_connection& connection) { peer_closed(connection); }});
+}
+
+void job_entry_process::operators_changed() {
+    if (leader_ != nullptr && operators_.config()) {
+        leader_->set_operator_state(*operators_.config(), operators_.closed_domains());
+    }
+}
+
+void job_entry_process::elected(const leadership& won) {
+    leader_ = std::make_unique<job_leader>(
+        loop_, *store_, leader_settings(), won,
+        job_leader::handlers{[this](const vm_name& name, const wire::message& message) {
+                                 return send_to_agent(name, message);
+                             },
+                             [this] { loop_.post([this] { election_.later_epoch_seen(); }); }});
+    access_.set_local(leader_.get());
+    operators_changed();
+}
+
+void job_entry_process::deposed() {
+    access_.set_local(nullptr);
+    // The call may come from inside the leader.
+    const std::shared_ptr<job_leader> ended = std::move(leader_);
+    loop_.post([ended] {});
+    for (const auto& [name, connection] : std::exchange(agents_, {})) {
+        if (const std::shared_ptr<frame_connection> open = connection.lock()) {
+            loop_.post([open] { open->close(); });
+        }
+    }
+}
+
+void job_entry_process::peer_opened(frame_connection& connection, const wire::hello& hello) {
+    if (hello.role == wire::peer_role::agent) {
+        agents_[hello.name] = connection.weak_from_this();
+        if (leader_ != nullptr) {
+            leader_->agent_connected(hello.name);
+        }
+    }
+}
+
+void job_entry_process::peer_closed(frame_connection& connection) {
+    const auto found = agents_.find(connection.peer().name);
+    if (found != agents_.end() && found->second.lock().get() == &connection) {
+        agents_.erase(found);
+    }
+}
+
+void job_entry_process::take_peer_message(frame_connection& connection, wire::message&& message) {
+    if (leader_ == nullptr) {
+        return; // The sender finds the leader by the store.
+    }
+    if (const vm_report* const report = std::get_if<vm_report>(&message)) {
+        const auto newest = agents_.find(connection.peer().name);
+        if (newest != agents_.end() && newest->second.lock().get() == &connection) {
+            leader_->take_report(*report);
+        }
+        return;
+    }
+    if (std::optional<wire::message> answer = answer_entry(*leader_, message)) {
+        connection.send(*answer);
+    }
+}
+
+bool job_entry_process::send_to_agent(const vm_name& name, const wire::message& message) {
+    const auto found = agents_.find(name);
+    const std::shared_ptr<frame_connection> connection =
+        found == agents_.end() ? nullptr : found->second.lock();
+    return connection != nullptr && connection->send(message);
+}
+
+void job_entry_process::answer_readiness(http_request&& request,
+                                         http_server::responder respond) const {
+    http_response response;
+    const bool ready = !stopping_ && operators_.config().has_value();
+    response.status = request.path != platform_.callers().ready_path() ? 404 : ready ? 200 : 503;
+    respond(std::move(response));
+}
+
+void job_entry_process::begin_stop() {
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    write_log(log_part::process, log_level::info, "The entry stops.", "vm=" + settings_.common.vm);
+    election_.resign();
+    callers_.announce_stop();
+    const boot_time now = boot_now();
+    stop_not_before_ = now + balancer_delay;
+    stop_at_ = now + settings_.stop_timeout;
+    continue_stop();
+}
+
+void job_entry_process::continue_stop() {
+    const boot_time now = boot_now();
+    const bool idle = callers_.active() == 0 && now >= stop_not_before_;
+    if (idle || now >= stop_at_) {
+        loop_.stop();
+        return;
+    }
+    loop_.call_at(now + stop_poll, [this] { continue_stop(); });
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "jobs/job_front.hpp"
+#include "jobs/job_leader.hpp"
+#include "jobs/leader_access.hpp"
+#include "jobs/leader_election.hpp"
+#include "jobs/leader_link.hpp"
+#include "jobs/operator_view.hpp"
+#include "net/frame_server.hpp"
+#include "settings/job_settings.hpp"
+
+#include <egretstile/runtime/http/http_server.hpp>
+#include <egretstile/runtime/net/event_loop.hpp>
+#include <egretstile/runtime/platform_access.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace egretstile::daemon {
+
+/// A process that takes callers' requests, and leads when there is no other leader. `request_stop`
+/// is thread-safe; everything else is for one thread.
+class job_entry_process {
+public:
+    job_entry_process(job_entry_settings settings, const platform_access& platform);
+    job_entry_process(const job_entry_process&) = delete;
+    job_entry_process& operator=(const job_entry_process&) = delete;
+    job_entry_process(job_entry_process&&) = delete;
+    job_entry_process& operator=(job_entry_process&&) = delete;
+    ~job_entry_process() = default;
+
+    /// Runs until the process has stopped.
+    void run();
+    void request_stop();
+
+private:
+    void control_changed();
+    void operators_changed();
+    void start_peer_server();
+    void elected(const leadership& won);
+    void deposed();
+    void peer_opened(frame_connection& connection, const wire::hello& hello);
+    void peer_closed(frame_connection& connection);
+    void take_peer_message(frame_connection& connection, wire::message&& message);
+    bool send_to_agent(const vm_name& name, const wire::message& message);
+    void answer_readiness(http_request&& request, http_server::responder respond) const;
+    void begin_stop();
+    void continue_stop();
+    endpoint peer_address() const { return {settings_.common.host, settings_.common.first_port}; }
+    wire::hello own_hello() const;
+
+    job_entry_settings settings_;
+    const platform_access& platform_;
+    event_loop loop_;
+    std::unique_ptr<infrastructure::coordination_store> store_;
+    /// Agents by VM; the newest connection counts.
+    std::map<vm_name, std::weak_ptr<frame_connection>> agents_;
+    std::unique_ptr<frame_server> peer_server_;
+    leader_link link_;
+    leader_access access_;
+    std::unique_ptr<job_leader> leader_;
+    operator_view operators_;
+    control_view control_;
+    leader_election election_;
+    job_front front_;
+    http_server callers_;
+    http_server readiness_;
+    std::uint64_t pings_{0};
+    bool stopping_{false};
+    boot_time stop_at_{};
+    boot_time stop_not_before_{};
+};
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_front.cpp
@@ -0,0 +1,248 @@
+#include "jobs/job_front.hpp"
+
+#include "jobs/store_keys.hpp"
+
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
+#include <egretstile/wire/record/record_codec.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+using namespace infrastructure;
+
+/// Pause before a call that the store refused is tried again.
+constexpr milliseconds store_pause{120};
+
+http_response response_of(int status, std::string body = "{}") {
+    http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = std::move(body);
+    return response;
+}
+
+/// The host without a port.
+std::string host_of(const http_request& request) {
+    const std::string host = request.header("host");
+    return host.substr(0, host.find(':'));
+}
+
+void log_decision(const std::string& what, const job_id& id, const std::string& fields) {
+    write_log(log_part::job, log_level::info, what, "job=" + id + " " + fields);
+}
+
+} // namespace
+
+job_front::job_front(event_loop& loop, coordination_store& store, const caller_protocol& protocol,
+                     const operator_view& operators, leader_access& leader,
+                     const front_settings& settings)
+    : loop_(loop)
+    , store_(store)
+    , protocol_(protocol)
+    , operators_(operators)
+    , leader_(leader)
+    , settings_(settings) {}
+
+void job_front::handle(http_request&& request, http_server::responder respond) {
+    if (!operators_.config()) {
+        http_response refusal = response_of(503, "{\"error\":\"no configuration yet\"}");
+        refusal.headers["Retry-After"] = "1";
+        respond(std::move(refusal));
+        return;
+    }
+    const queue_policy* const queue =
+        find_queue(*operators_.config(), host_of(request), request.path);
+    if (queue == nullptr) {
+        respond(response_of(404, "{\"error\":\"no such queue\"}"));
+        return;
+    }
+    const std::string id = request.path.substr(queue->path_prefix.size());
+    if (id.empty() && request.method == "GET") {
+        show_pending(*queue, std::move(respond));
+    } else if (!protocol_.is_job_id(id)) {
+        respond(response_of(400, "{\"error\":\"no job id\"}"));
+    } else if (request.method == "POST") {
+        submit(*queue, id, request, std::move(respond));
+    } else if (request.method == "GET") {
+        show(id, std::move(respond));
+    } else if (request.method == "DELETE") {
+        cancel(id, request, std::move(respond));
+    } else {
+        respond(response_of(405));
+    }
+}
+
+void job_front::submit(const queue_policy& queue, const job_id& id, const http_request& request,
+                       http_server::responder respond) {
+    std::variant<job_spec, malformed_job> decoded = protocol_.decode_job(request.body);
+    if (const malformed_job* const malformed = std::get_if<malformed_job>(&decoded)) {
+        log_decision("Refused a malformed job.", id, "reason=\"" + malformed->reason + "\"");
+        respond(response_of(400));
+        return;
+    }
+    job_spec& job = std::get<job_spec>(decoded);
+    job.id = id;
+    job.queue = queue.name;
+    job.policy = queue;
+    job.accepted_at_ms = wall_now_ms();
+    job.accepted_epoch = leader_.epoch();
+    const std::shared_ptr<stored_call> call = std::make_shared<stored_call>();
+    call->id = id;
+    call->transaction.expected = {{store_keys::job(id), 0}};
+    call->transaction.writes = {{store_keys::job(id), wire::encode_record(job), no_lease}};
+    call->deadline = deadline_of(request);
+    call->on_stored = [this, job, respond](bool was_there) {
+        log_decision("Accepted a job.", job.id,
+                     "queue=" + job.queue + " epoch=" + std::to_string(job.accepted_epoch) +
+                         " config=" + std::to_string(operators_.config()->version) +
+                         " known=" + (was_there ? "1" : "0"));
+        if (!was_there) {
+            leader_.tell_accepted(job);
+        }
+        respond(response_of(200));
+    };
+    call->respond = std::move(respond);
+    try_store(call);
+}
+
+void job_front::try_store(std::shared_ptr<stored_call> call) {
+    const milliseconds left =
+        std::chrono::duration_cast<milliseconds>(call->deadline - boot_now());
+    store_.commit(call->transaction,
+                  std::clamp(left, milliseconds(50), settings_.store_timeout),
+                  [this, call](std::variant<store_commit, store_conflict, store_error>&& result) {
+                      if (const store_error* const error = std::get_if<store_error>(&result)) {
+                          store_failed(call, *error);
+                      } else {
+                          call->on_stored(std::holds_alternative<store_conflict>(result));
+                      }
+                  });
+}
+
+void job_front::store_failed(std::shared_ptr<stored_call> call, store_error error) {
+    call->may_be_stored = call->may_be_stored || error == store_error::no_answer;
+    if (boot_now() + store_pause < call->deadline) {
+        loop_.call_at(boot_now() + store_pause, [this, call] { try_store(call); });
+        return;
+    }
+    log_decision(call->may_be_stored ? "Does not know whether a call was stored."
+                                     : "Refused a call: the store takes nothing.",
+                 call->id, "reason=" + std::string(name_of(store_error_names, error)));
+    // After "gateway timeout" the caller asks again with the same id; "service unavailable" tells
+    // it that nothing was stored.
+    http_response refusal = response_of(call->may_be_stored ? 504 : 503);
+    if (!call->may_be_stored) {
+        refusal.headers["Retry-After"] = std::to_string(1 + refusals_++ % 3);
+    }
+    call->respond(std::move(refusal));
+}
+
+void job_front::show(const job_id& id, http_server::responder respond) {
+    leader_.ask_state(id, settings_.leader_timeout,
+                      [this, id, respond = std::move(respond)](
+                          std::optional<wire::job_answer>&& answer) {
+                          if (answer && answer->known) {
+                              respond(state_response(answer->state));
+                          } else {
+                              show_stored(id, respond);
+                          }
+                      });
+}
+
+void job_front::show_stored(const job_id& id, http_server::responder respond) {
+    // The cancellation's key begins with the job's, so one listing reads both.
+    store_.list(store_keys::job(id), "", settings_.store_timeout,
+                [this, id, respond = std::move(respond)](
+                    std::variant<store_page, store_error>&& result) {
+                    if (std::holds_alternative<store_error>(result)) {
+                        respond(response_of(503));
+                        return;
+                    }
+                    const std::vector<store_item>& items = std::get<store_page>(result).items;
+                    if (items.empty()) {
+                        respond(response_of(410));
+                    } else {
+                        show_stored_progress(id, items.size() > 1, respond);
+                    }
+                });
+}
+
+void job_front::show_stored_progress(const job_id& id, bool cancelled,
+                                     http_server::responder respond) {
+    store_.get(store_keys::progress(id), settings_.store_timeout,
+               [this, cancelled, respond = std::move(respond)](
+                   std::variant<store_item, store_error>&& result) {
+                   const store_item* const item = std::get_if<store_item>(&result);
+                   if (item == nullptr) {
+                       respond(response_of(503));
+                       return;
+                   }
+                   const std::optional<job_progress> progress =
+                       item->revision == 0 ? std::nullopt : wire::decode_job_progress(item->value);
+                   const job_state stored = progress ? progress->state : job_state::queued;
+                   // A job that was done before it was cancelled stays done.
+                   respond(state_response(cancelled && !is_final(stored) ? job_state::cancelled
+                                                                         : stored));
+               });
+}
+
+void job_front::cancel(const job_id& id, const http_request& request,
+                       http_server::responder respond) {
+    const boot_time deadline = deadline_of(request);
+    store_.get(store_keys::job(id), settings_.store_timeout,
+               [this, id, deadline, respond = std::move(respond)](
+                   std::variant<store_item, store_error>&& result) {
+                   const store_item* const item = std::get_if<store_item>(&result);
+                   if (item == nullptr) {
+                       respond(response_of(504));
+                   } else if (item->revision == 0) {
+                       respond(response_of(410));
+                   } else {
+                       store_cancellation(id, deadline, respond);
+                   }
+               });
+}
+
+void job_front::store_cancellation(const job_id& id, boot_time deadline,
+                                   http_server::responder respond) {
+    const std::shared_ptr<stored_call> call = std::make_shared<stored_call>();
+    call->id = id;
+    call->transaction.expected = {{store_keys::cancellation(id), 0}};
+    call->transaction.writes = {{store_keys::cancellation(id), "", no_lease}};
+    call->deadline = deadline;
+    call->on_stored = [this, id, respond](bool /*was_there*/) {
+        log_decision("Accepted a cancellation.", id, "");
+        leader_.tell_cancelled(id);
+        respond(response_of(200));
+    };
+    call->respond = std::move(respond);
+    try_store(call);
+}
+
+void job_front::show_pending(const queue_policy& queue, http_server::responder respond) {
+    leader_.ask_pending(queue.name, settings_.leader_timeout,
+                        [this, respond = std::move(respond)](std::optional<std::uint64_t>&& count) {
+                            respond(count ? response_of(200, protocol_.encode_pending(*count))
+                                          : response_of(503));
+                        });
+}
+
+boot_time job_front::deadline_of(const http_request& request) const {
+    const std::string text = request.header(protocol_.deadline_header());
+    std::int64_t wait_ms = settings_.default_deadline.count();
+    std::from_chars(text.data(), text.data() + text.size(), wait_ms);
+    return boot_now() + std::max(milliseconds(wait_ms) - settings_.answer_margin, milliseconds(0));
+}
+
+http_response job_front::state_response(job_state state) const {
+    return response_of(200, protocol_.encode_state(state));
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -0,0 +1,363 @@
+#include "jobs/job_leader.hpp"
+
+#include "jobs/store_keys.hpp"
+
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
+#include <egretstile/wire/record/record_codec.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+using namespace infrastructure;
+
+constexpr milliseconds commit_timeout{1000};
+constexpr milliseconds load_pause{200};
+/// Time-driven decisions (lapsed leases, due occurrences) are at most this late.
+constexpr milliseconds tick{100};
+/// A watch that brings a change ends; one without changes is asked again after this.
+constexpr milliseconds job_watch_wait{5000};
+constexpr milliseconds expiry_interval{5000};
+/// Each expired job takes three removals, and the epoch one condition.
+constexpr std::size_t expired_per_commit = 10;
+/// The epoch and each job's progress are expected, and each progress is written.
+constexpr std::size_t jobs_per_commit = (max_transaction_entries - 1) / 2;
+
+bool ends_with(const std::string& text, const std::string& end) {
+    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+} // namespace
+
+job_leader::job_leader(event_loop& loop, coordination_store& store, const leader_settings& settings,
+                       const leadership& won, handlers callbacks)
+    : loop_(loop)
+    , store_(store)
+    , settings_(settings)
+    , leadership_(won)
+    , handlers_(std::move(callbacks))
+    , scheduler_(settings.scheduler, won.epoch, std::make_unique<separating_placer>(),
+                 [](const decision& made) {
+                     write_log(log_part::leader, log_level::info, made.what, made.fields);
+                 })
+    , jobs_(loop, store, store_keys::job_prefix, job_watch_wait,
+            {[this](const store_item& item) { take_job_change(item); }, [this] { jobs_listed(); }}) {
+    const std::weak_ptr<int> alive = alive_;
+    loop_.call_every(tick, [this, alive] {
+        if (!alive.expired()) {
+            request_pass();
+        }
+    });
+    loop_.call_every(expiry_interval, [this, alive] {
+        if (!alive.expired()) {
+            remove_expired();
+        }
+    });
+    jobs_.start();
+}
+
+void job_leader::set_operator_state(const operator_config& config,
+                                    std::set<failure_domain_name> closed) {
+    scheduler_.set_config(config);
+    scheduler_.set_closed_domains(std::move(closed));
+    request_pass();
+}
+
+void job_leader::take_job_change(const store_item& item) {
+    if (item.revision == 0) {
+        return; // Expired jobs are removed by this leader itself.
+    }
+    const std::string name = item.key.substr(store_keys::job_prefix.size());
+    if (ends_with(name, store_keys::cancelled_suffix)) {
+        // A key sorts before the keys that it begins, so the job is known.
+        cancel_job(name.substr(0, name.size() - store_keys::cancelled_suffix.size()));
+        return;
+    }
+    std::optional<job_spec> job = wire::decode_job_spec(item.value);
+    if (!job) {
+        write_log(log_part::leader, log_level::error, "Cannot read a stored job.", "key=" + item.key);
+        return;
+    }
+    add_job(*job);
+}
+
+void job_leader::jobs_listed() {
+    if (!serving_ && !std::exchange(loading_, true)) {
+        load_progress();
+    }
+}
+
+void job_leader::load_progress() {
+    const std::weak_ptr<int> alive = alive_;
+    list_all(store_, store_keys::progress_prefix,
+             [this, alive](std::variant<std::vector<store_item>, store_error>&& result) {
+                 if (alive.expired()) {
+                     return;
+                 }
+                 if (std::holds_alternative<store_error>(result)) {
+                     retry([this] { load_progress(); });
+                     return;
+                 }
+                 for (const store_item& item : std::get<std::vector<store_item>>(result)) {
+                     const job_id id = item.key.substr(store_keys::progress_prefix.size());
+                     progress_revisions_[id] = item.revision;
+                     if (const std::optional<job_progress> progress =
+                             wire::decode_job_progress(item.value)) {
+                         scheduler_.restore_progress(id, *progress);
+                     }
+                 }
+                 load_vms();
+             });
+}
+
+void job_leader::load_vms() {
+    const std::weak_ptr<int> alive = alive_;
+    list_all(store_, store_keys::vm_prefix,
+             [this, alive](std::variant<std::vector<store_item>, store_error>&& result) {
+                 if (alive.expired()) {
+                     return;
+                 }
+                 if (std::holds_alternative<store_error>(result)) {
+                     retry([this] { load_vms(); });
+                     return;
+                 }
+                 const scheduler_settings& terms = settings_.scheduler;
+                 const boot_time silent_until =
+                     leadership_.earlier_until +
+                     std::chrono::duration_cast<milliseconds>(terms.permission_term *
+                                                              (1.0 + terms.clock_drift)) +
+                     terms.lapse_margin;
+                 for (const store_item& item : std::get<std::vector<store_item>>(result)) {
+                     scheduler_.expect_vm(item.key.substr(store_keys::vm_prefix.size()),
+                                          silent_until);
+                 }
+                 start_serving();
+             });
+}
+
+void job_leader::retry(std::function<void()> step) {
+    const std::weak_ptr<int> alive = alive_;
+    loop_.call_at(boot_now() + load_pause, [alive, step = std::move(step)] {
+        if (!alive.expired()) {
+            step();
+        }
+    });
+}
+
+void job_leader::start_serving() {
+    serving_ = true;
+    write_log(log_part::leader, log_level::info, "Has loaded the stored jobs.",
+              "epoch=" + std::to_string(epoch()) + " jobs=" + std::to_string(scheduler_.job_count()) +
+                  " vms=" + std::to_string(scheduler_.vms().size()));
+    request_pass();
+}
+
+void job_leader::agent_connected(const vm_name& name) {
+    scheduler_.agent_connected(name);
+}
+
+void job_leader::take_report(const vm_report& report) {
+    if (report.epoch > epoch()) {
+        handlers_.on_later_epoch();
+        return;
+    }
+    if (!serving_) {
+        return;
+    }
+    if (!scheduler_.is_registered(report.vm)) {
+        register_vm(report.vm);
+        return;
+    }
+    if (report.epoch < epoch()) {
+        // The agent takes the epoch over first, so that it no longer follows an earlier leader.
+        handlers_.send(report.vm, scheduler_.take_orders(report.vm, 0));
+        return;
+    }
+    if (scheduler_.take_report(report, boot_now())) {
+        unanswered_reports_[report.vm] = report.sequence;
+    } else {
+        handlers_.send(report.vm, scheduler_.take_orders(report.vm, 0));
+    }
+    request_pass();
+}
+
+void job_leader::register_vm(const vm_name& name) {
+    if (!registering_.insert(name).second) {
+        return;
+    }
+    // A later leader must know every VM on which this one may have started tasks.
+    store_transaction transaction;
+    transaction.expected = {{store_keys::epoch, leadership_.epoch_revision}};
+    transaction.writes = {{store_keys::vm(name), "", no_lease}};
+    const std::weak_ptr<int> alive = alive_;
+    store_.commit(transaction, commit_timeout,
+                  [this, alive, name](std::variant<store_commit, store_conflict, store_error>&& result) {
+                      if (alive.expired()) {
+                          return;
+                      }
+                      registering_.erase(name);
+                      if (std::holds_alternative<store_commit>(result)) {
+                          write_log(log_part::leader, log_level::info, "Uses a VM.", "vm=" + name);
+                          scheduler_.register_vm(name);
+                          handlers_.send(name, scheduler_.take_orders(name, 0));
+                      } else if (std::holds_alternative<store_conflict>(result)) {
+                          handlers_.on_later_epoch();
+                      }
+                  });
+}
+
+void job_leader::add_job(const job_spec& job) {
+    if (!scheduler_.knows(job.id)) {
+        write_log(log_part::leader, log_level::info, "Takes a job.",
+                  "job=" + job.id + " queue=" + job.queue +
+                      " steps=" + std::to_string(job.steps.size()));
+        scheduler_.add_job(job);
+        request_pass();
+    }
+}
+
+void job_leader::cancel_job(const job_id& id) {
+    scheduler_.cancel_job(id);
+    request_pass();
+}
+
+void job_leader::request_pass() {
+    if (!serving_ || std::exchange(pass_requested_, true)) {
+        return;
+    }
+    const std::weak_ptr<int> alive = alive_;
+    loop_.call_at(boot_now() + settings_.pass_interval, [this, alive] {
+        if (!alive.expired()) {
+            run_pass();
+        }
+    });
+}
+
+void job_leader::run_pass() {
+    pass_requested_ = false;
+    scheduler_.schedule(boot_now(), wall_now_ms());
+    for (const vm_name& name : scheduler_.vms_with_orders()) {
+        send_orders(name);
+    }
+    while (!unanswered_reports_.empty()) {
+        send_orders(unanswered_reports_.begin()->first);
+    }
+    store_progress();
+}
+
+void job_leader::send_orders(const vm_name& vm) {
+    const vm_name name = vm;
+    const auto report = unanswered_reports_.find(name);
+    const std::uint64_t answered = report == unanswered_reports_.end() ? 0 : report->second;
+    if (report != unanswered_reports_.end()) {
+        unanswered_reports_.erase(report);
+    }
+    const vm_orders orders = scheduler_.take_orders(name, answered);
+    acknowledgements_sent_[name] = orders.acknowledged_ends;
+    handlers_.send(name, orders);
+}
+
+void job_leader::store_progress() {
+    const boot_time now = boot_now();
+    if (storing_ || now < store_not_before_) {
+        return;
+    }
+    const std::vector<job_entry*> changed = scheduler_.changed_jobs(jobs_per_commit);
+    if (changed.empty()) {
+        return;
+    }
+    store_transaction transaction;
+    transaction.expected = {{store_keys::epoch, leadership_.epoch_revision}};
+    std::vector<std::pair<job_id, std::uint64_t>> stored;
+    for (const job_entry* const job : changed) {
+        const std::string key = store_keys::progress(job->spec.id);
+        // The revision keeps a write whose answer was lost from taking effect after a later one.
+        transaction.expected.push_back({key, progress_revisions_[job->spec.id]});
+        transaction.writes.push_back({key, wire::encode_record(progress_of(*job)), no_lease});
+        stored.emplace_back(job->spec.id, job->version);
+    }
+    storing_ = true;
+    store_not_before_ = now + settings_.commit_interval;
+    const std::weak_ptr<int> alive = alive_;
+    store_.commit(transaction, commit_timeout,
+                  [this, alive, stored](std::variant<store_commit, store_conflict, store_error>&& result) {
+                      if (!alive.expired()) {
+                          take_commit(stored, std::move(result));
+                      }
+                  });
+}
+
+void job_leader::take_commit(const std::vector<std::pair<job_id, std::uint64_t>>& stored,
+                             std::variant<store_commit, store_conflict, store_error>&& result) {
+    storing_ = false;
+    const boot_time now = boot_now();
+    if (const store_commit* const commit = std::get_if<store_commit>(&result)) {
+        for (const auto& [id, version] : stored) {
+            progress_revisions_[id] = commit->revision;
+            scheduler_.mark_stored(id, version, now);
+        }
+        // Acknowledgements go out at once.
+        for (const auto& [name, vm] : scheduler_.vms()) {
+            if (vm.acknowledged_end > acknowledgements_sent_[name]) {
+                unanswered_reports_.try_emplace(name, 0);
+            }
+        }
+        request_pass();
+        return;
+    }
+    if (const store_conflict* const conflict = std::get_if<store_conflict>(&result)) {
+        take_conflict(*conflict);
+    } else {
+        write_log(log_part::leader, log_level::warning, "Cannot store progress.",
+                  "jobs=" + std::to_string(stored.size()) + " reason=" +
+                      std::string(name_of(store_error_names, std::get<store_error>(result))));
+    }
+    store_not_before_ = now + load_pause;
+}
+
+void job_leader::take_conflict(const store_conflict& conflict) {
+    std::map<std::string, revision_number> present;
+    for (const store_item& item : conflict.items) {
+        present[item.key] = item.revision;
+    }
+    const auto epoch_key = present.find(store_keys::epoch);
+    if (epoch_key == present.end() || epoch_key->second != leadership_.epoch_revision) {
+        handlers_.on_later_epoch();
+        return;
+    }
+    // An earlier write took effect although its answer was lost.
+    for (auto& [id, revision] : progress_revisions_) {
+        const auto found = present.find(store_keys::progress(id));
+        if (found != present.end()) {
+            revision = found->second;
+        }
+    }
+}
+
+void job_leader::remove_expired() {
+    if (!serving_) {
+        return;
+    }
+    std::vector<job_id> expired = scheduler_.take_expired(boot_now(), expired_per_commit);
+    if (expired.empty()) {
+        return;
+    }
+    store_transaction transaction;
+    transaction.expected = {{store_keys::epoch, leadership_.epoch_revision}};
+    for (const job_id& id : expired) {
+        transaction.removals.push_back(store_keys::job(id));
+        transaction.removals.push_back(store_keys::cancellation(id));
+        transaction.removals.push_back(store_keys::progress(id));
+        progress_revisions_.erase(id);
+    }
+    store_.commit(transaction, commit_timeout,
+                  [](std::variant<store_commit, store_conflict, store_error>&& /*removed*/) {
+                      // A job whose removal failed is removed by the next leader.
+                  });
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/leader_link.cpp
@@ -0,0 +1,82 @@
+#include "jobs/leader_link.hpp"
+
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
+
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+constexpr milliseconds maintain_interval{100};
+
+} // namespace
+
+leader_link::leader_link(event_loop& loop, wire::hello own_hello, milliseconds silence_limit,
+                         handlers callbacks)
+    : loop_(loop)
+    , own_hello_(std::move(own_hello))
+    , silence_limit_(silence_limit)
+    , handlers_(std::move(callbacks)) {
+    const std::weak_ptr<int> alive = alive_;
+    loop_.call_every(maintain_interval, [this, alive] {
+        if (!alive.expired()) {
+            maintain();
+        }
+    });
+}
+
+void leader_link::follow(const std::optional<leader_record>& leader, const std::string& peer_key) {
+    if (leader == leader_ || peer_key.empty()) {
+        return;
+    }
+    drop_client();
+    leader_ = leader;
+    if (!leader_) {
+        return;
+    }
+    frame_connection::handlers callbacks;
+    callbacks.on_open = [this](frame_connection& /*connection*/, const wire::hello& /*hello*/) {
+        heard_at_ = boot_now();
+        write_log(log_part::leader, log_level::info, "Connected to the leader.",
+                  "leader=" + leader_->name + " epoch=" + std::to_string(leader_->epoch));
+        handlers_.on_open();
+    };
+    callbacks.on_message = [this](frame_connection& /*connection*/, wire::message&& message) {
+        heard_at_ = boot_now();
+        handlers_.on_message(std::move(message));
+    };
+    callbacks.on_closed = [this](frame_connection& /*connection*/) {
+        write_log(log_part::leader, log_level::info, "Lost the connection to the leader.",
+                  "leader=" + leader_->name + " epoch=" + std::to_string(leader_->epoch));
+    };
+    client_ = std::make_unique<frame_client>(loop_, leader_->address, peer_key, own_hello_,
+                                             std::move(callbacks));
+    client_->maintain();
+}
+
+bool leader_link::send(const wire::message& message) {
+    return client_ != nullptr && client_->send(message);
+}
+
+void leader_link::maintain() {
+    if (client_ == nullptr) {
+        return;
+    }
+    if (client_->is_open() && boot_now() >= heard_at_ + silence_limit_) {
+        client_->reset();
+    }
+    client_->maintain();
+}
+
+void leader_link::drop_client() {
+    if (client_ == nullptr) {
+        return;
+    }
+    // The call may come from one of the client's own callbacks.
+    const std::shared_ptr<frame_client> dropped = std::move(client_);
+    loop_.post([dropped] {});
+}
+
+} // namespace egretstile::daemon
--- a/packages/daemon/source/main.cpp
+++ b/packages/daemon/source/main.cpp
@@ -1,12 +1,17 @@
 #include "agent/agent_process.hpp"
 #include "entry/entry_process.hpp"
+#include "jobs/job_agent_process.hpp"
+#include "jobs/job_entry_process.hpp"
 #include "net/stop_signal.hpp"
 #include "settings/settings_loader.hpp"
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
+
+#include <egretstile/platform/access.hpp>
 
 #include <Poco/Exception.h>
 #include <boost/program_options.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -17,6 +22,7 @@
 namespace {
 
 namespace options = boost::program_options;
+using namespace egretstile;
 using namespace egretstile::daemon;
 
 constexpr int exit_usage = 2;
@@ -25,8 +31,12 @@
     "Usage:\n"
     "  egretstiled entry --settings FILE             run on an entry VM\n"
     "  egretstiled agent --settings FILE             run beside an upstream\n"
-    "  egretstiled check-settings entry|agent FILE   check a settings file\n"
-    "  egretstiled print-defaults entry|agent        write a commented settings file\n"
+    "  egretstiled job-entry [--settings FILE]       take jobs on the organisation's platform\n"
+    "  egretstiled job-agent [--settings FILE]       run beside a task runner of that platform\n"
+    "  egretstiled check-settings ROLE FILE          check a settings file\n"
+    "  egretstiled print-defaults ROLE               write a commented settings file\n"
+    "Roles: entry, agent, job-entry, job-agent. Without --settings, the job roles read the file that\n"
+    "EGRETSTILE_SETTINGS names.\n"
     "Example: egretstiled entry --settings /etc/egretstile/entry.toml\n"
     "Exit codes: 0 done, 1 failed, 2 wrong usage or settings\n";
 
@@ -73,6 +83,31 @@
     return run_process<agent_process>(std::move(std::get<agent_settings>(loaded)));
 }
 
+/// Runs a process of the organisation's platform until it has stopped.
+template <typename Process, typename Settings>
+int run_job_process(const std::variant<Settings, std::vector<settings_error>>& loaded) {
+    if (const std::vector<settings_error>* const errors =
+            std::get_if<std::vector<settings_error>>(&loaded)) {
+        return print_errors(*errors);
+    }
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    stop_signal signal;
+    const Settings& settings = std::get<Settings>(loaded);
+    start_logging(value_of(log_level_names, settings.common.log_level).value_or(log_level::info));
+    try {
+        const egretstile::platform::access platform;
+        Process process(settings, platform);
+        signal.listen([&process] { process.request_stop(); });
+        process.run();
+        return EXIT_SUCCESS;
+    } catch (const Poco::Exception& error) {
+        write_log(log_part::process, log_level::error, "Cannot start.",
+                  "reason=\"" + error.displayText() + "\"");
+        return EXIT_FAILURE;
+    }
+}
+
 template <typename Settings>
 int report_check(const std::variant<Settings, std::vector<settings_error>>& loaded) {
     if (const std::vector<settings_error>* const errors =
@@ -90,6 +125,12 @@
     if (role == "agent") {
         return report_check(load_agent_settings(file));
     }
+    if (role == "job-entry") {
+        return report_check(load_job_entry_settings(file));
+    }
+    if (role == "job-agent") {
+        return report_check(load_job_agent_settings(file));
+    }
     std::cerr << usage;
     return exit_usage;
 }
@@ -114,8 +155,16 @@
     if (words.size() == 2 && words[0] == "print-defaults") {
         return print_role_defaults(words[1]);
     }
-    if (words.size() == 1 && values.count("settings") != 0) {
-        const std::string file = values["settings"].as<std::string>();
+    const char* const named_file = std::getenv("EGRETSTILE_SETTINGS");
+    if (words.size() == 1 && (values.count("settings") != 0 || named_file != nullptr)) {
+        const std::string file =
+            values.count("settings") != 0 ? values["settings"].as<std::string>() : named_file;
+        if (words[0] == "job-entry") {
+            return run_job_process<job_entry_process>(load_job_entry_settings(file));
+        }
+        if (words[0] == "job-agent") {
+            return run_job_process<job_agent_process>(load_job_agent_settings(file));
+        }
         if (words[0] == "entry") {
             return run_entry(file);
         }
--- a/packages/daemon/source/net/frame_client.cpp
+++ b/packages/daemon/source/net/frame_client.cpp
@@ -1,6 +1,6 @@
 #include "net/frame_client.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
--- a/packages/daemon/source/net/frame_connection.cpp
+++ b/packages/daemon/source/net/frame_connection.cpp
@@ -1,6 +1,6 @@
 #include "net/frame_connection.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
--- a/packages/daemon/source/net/frame_server.hpp
+++ b/packages/daemon/source/net/frame_server.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 #include "net/frame_connection.hpp"
 #include "settings/entry_settings.hpp"
 
--- a/packages/daemon/source/net/loop_call.hpp
+++ b/packages/daemon/source/net/loop_call.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
 #include <chrono>
 #include <functional>
--- a/packages/daemon/source/settings/entry_settings.hpp
+++ b/packages/daemon/source/settings/entry_settings.hpp
@@ -5,18 +5,13 @@
 #include <egretstile/core/placement/placement_strategy.hpp>
 #include <egretstile/core/routing/request_router.hpp>
 #include <egretstile/core/task/shard_ledger.hpp>
+#include <egretstile/runtime/net/endpoint.hpp>
 
 #include <cstdint>
 #include <string>
 
 namespace egretstile::daemon {
 
-/// Address as it stands in settings: an IP number and a port; port zero: chosen by the kernel.
-struct endpoint {
-    std::string host{"127.0.0.1"};
-    std::uint16_t port{0};
-};
-
 /// Settings that entries and agents share.
 struct common_settings {
     std::string deployment{"egretstile"};
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -1,6 +1,6 @@
 #include "settings/setting_table.hpp"
 
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <egretstile/core/plan/occurrence.hpp>
 
@@ -105,6 +105,17 @@
                "written.");
 }
 
+void add_job_common(table_builder& table, job_common_settings& target) {
+    table.required_text("vm", target.vm, "Name of this VM, unique in the deployment.");
+    table.required_text("failure_domain", target.failure_domain, "Failure domain of this VM.");
+    table.required_text("host", target.host, "Address of this VM.");
+    table.number("first_port", "", target.first_port, 1, 65535,
+                 "First of the ports that are free for the deployment's own processes.");
+    table.remote_address("store", target.store, "Address of the platform's store.");
+    table.choice("log_level", names_in(log_level_names), target.log_level,
+                 "Log lines below this level are dropped.");
+}
+
 void add_terms(table_builder& table, lease_terms& target) {
     table.set_prefix("terms.");
     table.duration("heartbeat_interval_ms", target.heartbeat_interval, 10, 10 * second_ms,
@@ -229,4 +240,26 @@
     return table.take();
 }
 
+setting_table settings_of(job_entry_settings& target) {
+    table_builder table;
+    add_job_common(table, target.common);
+    table.listen_address("callers", target.callers, "Address for callers' HTTP.");
+    table.listen_address("readiness", target.readiness,
+                         "Address at which the load balancer asks for readiness.");
+    table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
+                   "A planned shutdown waits this long for requests in progress.");
+    return table.take();
+}
+
+setting_table settings_of(job_agent_settings& target) {
+    table_builder table;
+    add_job_common(table, target.common);
+    table.listen_address("registration", target.registration,
+                         "Address at which the runner of this VM registers.");
+    table.remote_address("runner", target.runner, "Address of the runner of this VM.");
+    table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
+                   "A planned shutdown waits this long for calls in progress.");
+    return table.take();
+}
+
 } // namespace egretstile::daemon
--- a/packages/daemon/source/settings/setting_table.hpp
+++ b/packages/daemon/source/settings/setting_table.hpp
@@ -2,6 +2,7 @@
 
 #include "settings/agent_settings.hpp"
 #include "settings/entry_settings.hpp"
+#include "settings/job_settings.hpp"
 #include "settings/setting_value.hpp"
 
 #include <memory>
@@ -27,5 +28,7 @@
 /// All settings of the role, connected with the fields of `target`, which must outlive the table.
 setting_table settings_of(entry_settings& target);
 setting_table settings_of(agent_settings& target);
+setting_table settings_of(job_entry_settings& target);
+setting_table settings_of(job_agent_settings& target);
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/settings/setting_value.hpp
+++ b/packages/daemon/source/settings/setting_value.hpp
@@ -3,6 +3,7 @@
 #include "settings/entry_settings.hpp"
 
 #include <egretstile/core/base/name_table.hpp>
+#include <egretstile/runtime/net/endpoint.hpp>
 
 #include <toml++/toml.h>
 
@@ -169,10 +170,4 @@
 /// `text` as a TOML string. Thread-safe.
 std::string toml_string(const std::string& text);
 
-/// Address of "IP:PORT" (an IPv6 address in brackets); nothing for any other text. Thread-safe.
-std::optional<endpoint> parse_endpoint(std::string_view text);
-
-/// The address as `parse_endpoint` reads it. Thread-safe.
-std::string to_string(const endpoint& address);
-
 } // namespace egretstile::daemon
--- a/packages/daemon/source/settings/settings_loader.cpp
+++ b/packages/daemon/source/settings/settings_loader.cpp
@@ -131,13 +131,18 @@
     }
 }
 
+template <typename Settings>
+concept has_terms = requires(Settings settings) { settings.common.terms; };
+
 template <typename Settings>
 std::variant<Settings, std::vector<settings_error>> load(const std::string& path) {
     Settings settings;
     const setting_table table = settings_of(settings);
     file_reader reader(path, table);
     reader.read();
-    check_terms(settings.common.terms, reader);
+    if constexpr (has_terms<Settings>) {
+        check_terms(settings.common.terms, reader);
+    }
     std::vector<settings_error> errors = reader.take_errors();
     if (!errors.empty()) {
         return errors;
@@ -162,6 +167,12 @@
     return text;
 }
 
+template <typename Settings>
+std::string print_defaults_of() {
+    Settings defaults;
+    return print(settings_of(defaults));
+}
+
 } // namespace
 
 std::string to_string(const settings_error& error) {
@@ -182,13 +193,28 @@
     return load<agent_settings>(path);
 }
 
+std::variant<job_entry_settings, std::vector<settings_error>>
+load_job_entry_settings(const std::string& path) {
+    return load<job_entry_settings>(path);
+}
+
+std::variant<job_agent_settings, std::vector<settings_error>>
+load_job_agent_settings(const std::string& path) {
+    return load<job_agent_settings>(path);
+}
+
 std::string print_defaults(process_role role) {
-    if (role == process_role::entry) {
-        entry_settings defaults;
-        return print(settings_of(defaults));
+    switch (role) {
+    case process_role::entry:
+        return print_defaults_of<entry_settings>();
+    case process_role::agent:
+        return print_defaults_of<agent_settings>();
+    case process_role::job_entry:
+        return print_defaults_of<job_entry_settings>();
+    case process_role::job_agent:
+        return print_defaults_of<job_agent_settings>();
     }
-    agent_settings defaults;
-    return print(settings_of(defaults));
+    return "";
 }
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/settings/settings_loader.hpp
+++ b/packages/daemon/source/settings/settings_loader.hpp
@@ -2,6 +2,7 @@
 
 #include "settings/agent_settings.hpp"
 #include "settings/entry_settings.hpp"
+#include "settings/job_settings.hpp"
 #include "settings/settings_error.hpp"
 
 #include <egretstile/core/base/name_table.hpp>
@@ -15,10 +16,12 @@
 /// Reads settings files (TOML). All settings are declared once, in setting_table.cpp.
 namespace egretstile::daemon {
 
-enum class process_role : std::uint8_t { entry, agent };
+enum class process_role : std::uint8_t { entry, agent, job_entry, job_agent };
 
-inline constexpr std::array<enum_name<process_role>, 2> process_role_names{
-    {{process_role::entry, "entry"}, {process_role::agent, "agent"}}};
+inline constexpr std::array<enum_name<process_role>, 4> process_role_names{
+    {{process_role::entry, "entry"}, {process_role::agent, "agent"},
+     {process_role::job_entry, "job-entry"},
+     {process_role::job_agent, "job-agent"}}};
 
 /// Settings of the file, or all its errors: unknown and missing settings, values outside their
 /// range, terms that contradict each other. Thread-safe.
@@ -26,6 +29,10 @@
 load_entry_settings(const std::string& path);
 std::variant<agent_settings, std::vector<settings_error>>
 load_agent_settings(const std::string& path);
+std::variant<job_entry_settings, std::vector<settings_error>>
+load_job_entry_settings(const std::string& path);
+std::variant<job_agent_settings, std::vector<settings_error>>
+load_job_agent_settings(const std::string& path);
 
 /// A settings file of the role with every setting, its help, unit, allowed values and default.
 /// Required settings have no default and are commented out. Thread-safe.
--- /dev/null
+++ b/packages/infrastructure/include/egretstile/infrastructure/key_value/coordination_store.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/identifiers.hpp>
+#include <egretstile/infrastructure/key_value/store_error.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace egretstile::infrastructure {
+
+/// A key as it is stored; revision zero: the key is absent.
+struct store_item {
+    std::string key;
+    std::string value;
+    revision_number revision{0};
+};
+
+/// Keys of one prefix, in order.
+struct store_page {
+    std::vector<store_item> items;
+    /// The store's revision when the page was read. Pages read one after the other are no snapshot.
+    revision_number at{0};
+    bool has_more{false};
+};
+
+/// Changes of keys of one prefix; a removed key has revision zero.
+struct store_changes {
+    std::vector<store_item> items;
+    /// Revision after which to go on watching.
+    revision_number at{0};
+};
+
+using store_lease = std::int64_t;
+
+/// No lease: the key stays until it is removed.
+constexpr store_lease no_lease = 0;
+
+struct store_condition {
+    std::string key;
+    /// Zero: the key must not exist.
+    revision_number revision{0};
+};
+
+struct store_write {
+    std::string key;
+    std::string value;
+    store_lease lease{no_lease};
+};
+
+/// Takes effect whole or not at all.
+struct store_transaction {
+    std::vector<store_condition> expected;
+    std::vector<store_write> writes;
+    std::vector<std::string> removals;
+};
+
+/// Most conditions, writes and removals of one transaction together.
+constexpr std::size_t max_transaction_entries = 32;
+
+struct store_commit {
+    revision_number revision{0};
+};
+
+/// A condition did not hold: the present state of the keys that were expected.
+struct store_conflict {
+    std::vector<store_item> items;
+};
+
+struct granted_lease {
+    store_lease lease{no_lease};
+    milliseconds time_to_live{0};
+};
+
+/// The store that holds all that must last, for a process with an event loop. Each callback is
+/// called once, on the loop's thread, and not from inside the call. After
+/// `store_error::no_answer` a write may take effect later, if its conditions still hold then.
+class coordination_store {
+public:
+    using get_callback = std::function<void(std::variant<store_item, store_error>&&)>;
+    using page_callback = std::function<void(std::variant<store_page, store_error>&&)>;
+    using changes_callback = std::function<void(std::variant<store_changes, store_error>&&)>;
+    using commit_callback =
+        std::function<void(std::variant<store_commit, store_conflict, store_error>&&)>;
+    using lease_callback = std::function<void(std::variant<granted_lease, store_error>&&)>;
+    using done_callback = std::function<void(std::variant<std::monostate, store_error>&&)>;
+
+    coordination_store() = default;
+    coordination_store(const coordination_store&) = delete;
+    coordination_store& operator=(const coordination_store&) = delete;
+    coordination_store(coordination_store&&) = delete;
+    coordination_store& operator=(coordination_store&&) = delete;
+    virtual ~coordination_store() = default;
+
+    /// An absent key has revision zero.
+    virtual void get(const std::string& key, milliseconds timeout, get_callback done) = 0;
+
+    /// Keys that begin with `prefix`, after the key `after`.
+    virtual void list(const std::string& prefix, const std::string& after, milliseconds timeout,
+                      page_callback done) = 0;
+
+    /// Changes after a revision; waits up to `wait` for the first.
+    virtual void watch(const std::string& prefix, revision_number after, milliseconds wait,
+                       changes_callback done) = 0;
+
+    /// Precondition: at most `max_transaction_entries` entries.
+    virtual void commit(const store_transaction& transaction, milliseconds timeout,
+                        commit_callback done) = 0;
+
+    virtual void grant_lease(milliseconds time_to_live, milliseconds timeout,
+                             lease_callback done) = 0;
+    /// `store_error::not_found`: the lease has ended for good.
+    virtual void renew_lease(store_lease lease, milliseconds timeout, done_callback done) = 0;
+    virtual void end_lease(store_lease lease, milliseconds timeout, done_callback done) = 0;
+};
+
+} // namespace egretstile::infrastructure
--- a/packages/platform/include/egretstile/platform/key_value/http_key_value_store.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/key_value/http_key_value_store.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <egretstile/platform/key_value/key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/key_value_store.hpp>
 
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 class http_client;
 
@@ -45,4 +45,4 @@
     milliseconds timeout_;
 };
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/include/egretstile/platform/key_value/key_value_store.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/key_value/key_value_store.hpp
@@ -2,33 +2,14 @@
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/identifiers.hpp>
-#include <egretstile/core/base/name_table.hpp>
+#include <egretstile/infrastructure/key_value/store_error.hpp>
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
 
-namespace egretstile::platform {
-
-/// Why a call to the key-value service has no result.
-enum class store_error : std::uint8_t {
-    unavailable,  ///< Nothing was sent, or the service refused the call: it had no effect.
-    rate_limited, ///< Refused because of the call rate: it had no effect.
-    no_answer,    ///< Sent without an answer: a write may have taken effect.
-    not_found,    ///< The lease does not exist (any more).
-    conflict,     ///< The revision of the key is not the expected one.
-    rejected      ///< The service does not take the call, for example a value above 1 MB.
-};
-
-inline constexpr std::array<enum_name<store_error>, 6> store_error_names{
-    {{store_error::unavailable, "unavailable"},
-     {store_error::rate_limited, "rate_limited"},
-     {store_error::no_answer, "no_answer"},
-     {store_error::not_found, "not_found"},
-     {store_error::conflict, "conflict"},
-     {store_error::rejected, "rejected"}}};
+namespace egretstile::infrastructure {
 
 /// A key's value; revision zero and an empty value: the key is absent.
 struct stored_value {
@@ -78,4 +59,4 @@
     virtual store_result<std::monostate> revoke_lease(const lease_id& lease) = 0;
 };
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/include/egretstile/platform/worker/http_worker.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/worker/http_worker.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <egretstile/platform/worker/worker.hpp>
+#include <egretstile/infrastructure/worker/worker.hpp>
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 class http_client;
 
@@ -62,4 +62,4 @@
     milliseconds timeout_;
 };
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/include/egretstile/platform/worker/worker.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/worker/worker.hpp
@@ -12,7 +12,7 @@
 #include <variant>
 #include <vector>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 /// Why a call to the worker has no result.
 enum class worker_error : std::uint8_t {
@@ -67,4 +67,4 @@
                                                  const task_run& run) = 0;
 };
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/clock/boot_now.cpp
+++ b/packages/infrastructure/source/clock/boot_now.cpp
@@ -1,4 +1,4 @@
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <ctime>
 
--- a/packages/platform/source/http/deadline_socket.cpp
+++ b/packages/infrastructure/source/http/deadline_socket.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <span>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 void deadline_socket::wait_for(int mode) {
     for (;;) {
@@ -59,4 +59,4 @@
     return SocketImpl::receiveBytes(buffer, length, flags | MSG_DONTWAIT);
 }
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/http/deadline_socket.hpp
+++ b/packages/infrastructure/source/http/deadline_socket.hpp
@@ -6,7 +6,7 @@
 #include <atomic>
 #include <chrono>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 /// TCP connection whose operations together end by one deadline. Poco's own timeouts hold for each
 /// receive alone, so a peer that sends single bytes could extend a call without limit.
@@ -40,4 +40,4 @@
     clock::time_point deadline_;
 };
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/http/http_client.cpp
+++ b/packages/infrastructure/source/http/http_client.cpp
@@ -9,7 +9,7 @@
 #include <ostream>
 #include <utility>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 namespace {
 
@@ -152,4 +152,4 @@
     return answer;
 }
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/http/http_client.hpp
+++ b/packages/infrastructure/source/http/http_client.hpp
@@ -19,7 +19,7 @@
 #include <variant>
 #include <vector>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 struct http_call {
     std::string method;
@@ -85,4 +85,4 @@
     int calls_in_progress_{0};
 };
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/key_value/http_key_value_store.cpp
+++ b/packages/infrastructure/source/key_value/http_key_value_store.cpp
@@ -1,6 +1,6 @@
 #include "http/http_client.hpp"
 
-#include <egretstile/platform/key_value/http_key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/http_key_value_store.hpp>
 
 #include <Poco/URI.h>
 
@@ -8,7 +8,7 @@
 #include <memory>
 #include <utility>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 namespace {
 
@@ -165,4 +165,4 @@
     return done(client_->call({"DELETE", "/v1/leases/" + encoded(lease), {}}, timeout_));
 }
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/worker/http_worker.cpp
+++ b/packages/infrastructure/source/worker/http_worker.cpp
@@ -1,14 +1,14 @@
 #include "http/http_client.hpp"
 #include "worker/worker_json.hpp"
 
-#include <egretstile/platform/worker/http_worker.hpp>
+#include <egretstile/infrastructure/worker/http_worker.hpp>
 
 #include <Poco/URI.h>
 
 #include <optional>
 #include <utility>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 namespace {
 
@@ -148,4 +148,4 @@
     return without_body(act(incarnation, run, "forget", {}));
 }
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/worker/worker_json.cpp
+++ b/packages/infrastructure/source/worker/worker_json.cpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <sstream>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 namespace {
 
@@ -143,4 +143,4 @@
     }
 }
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/platform/source/worker/worker_json.hpp
+++ b/packages/infrastructure/source/worker/worker_json.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace egretstile::platform {
+namespace egretstile::infrastructure {
 
 std::string start_to_json(const worker_start& start);
 std::string renewals_to_json(const std::vector<worker_renewal>& renewals);
@@ -18,4 +18,4 @@
 /// Nothing when `text` has no string field `checkpoint`.
 std::optional<std::string> checkpoint_from_json(const std::string& text);
 
-} // namespace egretstile::platform
+} // namespace egretstile::infrastructure
--- a/packages/daemon/source/net/event_loop.hpp
+++ b/packages/runtime/include/egretstile/runtime/net/event_loop.hpp
@@ -11,9 +11,10 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <vector>
 
-namespace egretstile::daemon {
+namespace egretstile {
 
 /// One thread that owns the state of a process: sockets, timers and functions posted by other
 /// threads run one after another on it. All functions but `post` and `stop` are for the loop's
@@ -61,7 +62,7 @@
     void run_posted();
     void run_due_timers();
     void run_ready_sockets(milliseconds timeout);
-    milliseconds time_to_next_timer() const;
+    milliseconds time_to_next_timer();
 
     Poco::Net::PollSet poll_set_;
     std::map<Poco::Net::Socket, socket_callback> sockets_;
@@ -71,6 +72,7 @@
     std::vector<callback> posted_;
     bool wake_pending_{false};
     std::atomic<bool> stopped_{false};
+    std::atomic<std::thread::id> runner_{};
 };
 
-} // namespace egretstile::daemon
+} // namespace egretstile
--- a/packages/daemon/source/telemetry/log.hpp
+++ b/packages/runtime/include/egretstile/runtime/telemetry/log.hpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace egretstile::daemon {
+namespace egretstile {
 
 /// Part of the program that a log line comes from; its name is the line's prefix.
 enum class log_part : std::uint8_t {
@@ -20,10 +20,14 @@
     routing,
     admission,
     upstream,
-    worker
+    worker,
+    store,
+    leader,
+    job,
+    config
 };
 
-inline constexpr std::array<enum_name<log_part>, 11> log_part_names{
+inline constexpr std::array<enum_name<log_part>, 15> log_part_names{
     {{log_part::process, "process"},
      {log_part::settings, "settings"},
      {log_part::net, "net"},
@@ -34,7 +38,11 @@
      {log_part::routing, "routing"},
      {log_part::admission, "admission"},
      {log_part::upstream, "upstream"},
-     {log_part::worker, "worker"}}};
+     {log_part::worker, "worker"},
+     {log_part::store, "store"},
+     {log_part::leader, "leader"},
+     {log_part::job, "job"},
+     {log_part::config, "config"}}};
 
 enum class log_level : std::uint8_t { debug, info, warning, error };
 
@@ -52,4 +60,4 @@
 void write_log(log_part part, log_level level, const std::string& sentence,
                const std::string& fields = "");
 
-} // namespace egretstile::daemon
+} // namespace egretstile
--- /dev/null
+++ b/packages/runtime/source/http/http_client.cpp
@@ -0,0 +1,262 @@
+#include <egretstile/runtime/http/http_client.hpp>
+
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace egretstile {
+
+namespace {
+
+constexpr std::size_t read_chunk_bytes = std::size_t{64} * 1024;
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
+} // namespace
+
+/// One connection of an `http_client`.
+class http_client_connection : public std::enable_shared_from_this<http_client_connection> {
+public:
+    http_client_connection(http_client& client, event_loop& loop)
+        : client_(&client)
+        , loop_(loop) {}
+
+    bool is_idle() const { return !closed_ && !done_; }
+
+    /// False when the connection cannot be opened.
+    bool open() {
+        try {
+            socket_.connectNB(Poco::Net::SocketAddress(client_->server_.host, client_->server_.port));
+            socket_.setBlocking(false);
+        } catch (const Poco::Exception&) {
+            closed_ = true;
+            return false;
+        }
+        const std::weak_ptr<http_client_connection> self = weak_from_this();
+        loop_.watch(socket_, Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_WRITE,
+                    [self](int mode) {
+                        if (const std::shared_ptr<http_client_connection> held = self.lock()) {
+                            held->handle_ready(mode);
+                        }
+                    });
+        wants_write_ = true;
+        return true;
+    }
+
+    void send(std::string&& bytes, milliseconds timeout, http_client::callback done) {
+        output_ = std::move(bytes);
+        sent_ = 0;
+        input_.clear();
+        done_ = std::move(done);
+        ++call_;
+        const std::weak_ptr<http_client_connection> self = weak_from_this();
+        const std::uint64_t call = call_;
+        loop_.call_at(boot_now() + timeout, [self, call] {
+            const std::shared_ptr<http_client_connection> held = self.lock();
+            if (held && held->done_ && held->call_ == call) {
+                held->fail();
+            }
+        });
+        if (connected_) {
+            write_pending();
+        }
+    }
+
+    void abandon() {
+        done_ = nullptr;
+        close();
+    }
+
+private:
+    void handle_ready(int mode) {
+        const std::shared_ptr<http_client_connection> self = shared_from_this();
+        if (!closed_ && (mode & Poco::Net::PollSet::POLL_ERROR) != 0) {
+            fail();
+            return;
+        }
+        if (!closed_ && (mode & Poco::Net::PollSet::POLL_WRITE) != 0) {
+            if (!std::exchange(connected_, true)) {
+                try {
+                    socket_.setNoDelay(true);
+                } catch (const Poco::Exception&) {
+                    fail();
+                    return;
+                }
+            }
+            write_pending();
+        }
+        if (!closed_ && (mode & Poco::Net::PollSet::POLL_READ) != 0) {
+            read_available();
+        }
+    }
+
+    void write_pending() {
+        while (sent_ < output_.size()) {
+            int written = 0;
+            try {
+                const std::string_view rest = std::string_view(output_).substr(sent_);
+                written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
+            } catch (const Poco::TimeoutException&) {
+                written = 0;
+            } catch (const Poco::Exception&) {
+                fail_later();
+                return;
+            }
+            if (written <= 0) {
+                break;
+            }
+            sent_ += static_cast<std::size_t>(written);
+        }
+        const bool wants_write = sent_ < output_.size();
+        if (wants_write != wants_write_) {
+            wants_write_ = wants_write;
+            const int read = Poco::Net::PollSet::POLL_READ;
+            loop_.change_mode(socket_, wants_write ? read | Poco::Net::PollSet::POLL_WRITE : read);
+        }
+    }
+
+    void read_available() {
+        std::string chunk(read_chunk_bytes, '\0');
+        int received = 0;
+        try {
+            received = socket_.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+        } catch (const Poco::TimeoutException&) {
+            return;
+        } catch (const Poco::Exception&) {
+            fail();
+            return;
+        }
+        if (received == 0) {
+            fail();
+            return;
+        }
+        if (received > 0) {
+            input_.append(chunk, 0, static_cast<std::size_t>(received));
+            take_response();
+        }
+    }
+
+    void take_response() {
+        if (!done_) {
+            // Bytes that no call has asked for.
+            close();
+            return;
+        }
+        if (!head_) {
+            const std::size_t end = input_.find(end_of_head);
+            if (end == std::string::npos) {
+                return;
+            }
+            response_ = http_response();
+            head_ = parse_response_head(std::string_view(input_).substr(0, end + end_of_head.size()),
+                                        response_);
+            if (!head_ || head_->chunked) {
+                finish(http_failure::malformed, false);
+                return;
+            }
+        }
+        if (input_.size() < head_->bytes + head_->content_length) {
+            return;
+        }
+        response_.body = input_.substr(head_->bytes, head_->content_length);
+        const bool keep_alive = head_->keep_alive;
+        finish(std::move(response_), keep_alive);
+    }
+
+    void finish(http_result&& result, bool keep_open) {
+        head_.reset();
+        input_.clear();
+        const http_client::callback done = std::exchange(done_, nullptr);
+        if (!keep_open) {
+            close();
+        }
+        if (done) {
+            done(std::move(result));
+        }
+    }
+
+    void fail() {
+        if (closed_) {
+            return;
+        }
+        finish(sent_ == 0 ? http_failure::not_sent : http_failure::no_answer, false);
+    }
+
+    void fail_later() {
+        const std::weak_ptr<http_client_connection> self = weak_from_this();
+        loop_.post([self] {
+            if (const std::shared_ptr<http_client_connection> held = self.lock()) {
+                held->fail();
+            }
+        });
+    }
+
+    void close() {
+        if (std::exchange(closed_, true)) {
+            return;
+        }
+        loop_.unwatch(socket_);
+        socket_.close();
+        if (client_ != nullptr) {
+            std::vector<std::shared_ptr<http_client_connection>>& all = client_->connections_;
+            const std::shared_ptr<http_client_connection> self = shared_from_this();
+            all.erase(std::remove(all.begin(), all.end(), self), all.end());
+        }
+    }
+
+    http_client* client_;
+    event_loop& loop_;
+    Poco::Net::StreamSocket socket_;
+    std::string output_;
+    std::size_t sent_{0};
+    std::string input_;
+    std::optional<http_head> head_;
+    http_response response_;
+    http_client::callback done_;
+    std::uint64_t call_{0};
+    bool connected_{false};
+    bool wants_write_{false};
+    bool closed_{false};
+};
+
+http_client::http_client(event_loop& loop, endpoint server)
+    : loop_(loop)
+    , server_(std::move(server)) {}
+
+http_client::~http_client() {
+    for (const std::shared_ptr<http_client_connection>& connection :
+         std::exchange(connections_, {})) {
+        connection->abandon();
+    }
+}
+
+void http_client::call(http_request&& request, milliseconds timeout, callback done) {
+    const std::shared_ptr<http_client_connection> connection = idle_connection();
+    if (!connection) {
+        loop_.post([done = std::move(done)] { done(http_failure::not_sent); });
+        return;
+    }
+    connection->send(format_request(request, to_string(server_)), timeout, std::move(done));
+}
+
+std::shared_ptr<http_client_connection> http_client::idle_connection() {
+    for (const std::shared_ptr<http_client_connection>& connection : connections_) {
+        if (connection->is_idle()) {
+            return connection;
+        }
+    }
+    std::shared_ptr<http_client_connection> connection =
+        std::make_shared<http_client_connection>(*this, loop_);
+    if (!connection->open()) {
+        return nullptr;
+    }
+    connections_.push_back(connection);
+    return connection;
+}
+
+} // namespace egretstile
--- /dev/null
+++ b/packages/runtime/source/http/http_server.cpp
@@ -0,0 +1,220 @@
+#include "http/http_server_connection.hpp"
+
+#include <egretstile/runtime/http/http_server.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <utility>
+
+namespace egretstile {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
+} // namespace
+
+http_server::http_server(event_loop& loop, const endpoint& address, const limits& bounds,
+                         handler function)
+    : loop_(loop)
+    , limits_(bounds)
+    , handler_(std::move(function)) {
+    socket_.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    socket_.listen(listen_backlog);
+    socket_.setBlocking(false);
+    loop_.watch(socket_, Poco::Net::PollSet::POLL_READ, [this](int /*mode*/) { accept_waiting(); });
+}
+
+http_server::~http_server() {
+    loop_.unwatch(socket_);
+    for (const std::shared_ptr<http_server_connection>& connection :
+         std::exchange(connections_, {})) {
+        connection->close();
+    }
+}
+
+void http_server::accept_waiting() {
+    try {
+        Poco::Net::StreamSocket accepted = socket_.acceptConnection();
+        if (connections_.size() >= limits_.max_connections) {
+            accepted.close();
+            return;
+        }
+        accepted.setBlocking(false);
+        accepted.setNoDelay(true);
+        const std::shared_ptr<http_server_connection> connection =
+            std::make_shared<http_server_connection>(*this, accepted);
+        connections_.insert(connection);
+        connection->start();
+    } catch (const Poco::Exception&) {
+        // The client has gone before it was accepted, or no descriptor is free: it tries again.
+    }
+}
+
+http_server_connection::http_server_connection(http_server& server,
+                                               const Poco::Net::StreamSocket& socket)
+    : server_(server)
+    , socket_(socket) {}
+
+void http_server_connection::start() {
+    const std::weak_ptr<http_server_connection> self = weak_from_this();
+    server_.loop_.watch(socket_, Poco::Net::PollSet::POLL_READ, [self](int mode) {
+        if (const std::shared_ptr<http_server_connection> connection = self.lock()) {
+            connection->handle_ready(mode);
+        }
+    });
+}
+
+void http_server_connection::close() {
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    server_.loop_.unwatch(socket_);
+    socket_.close();
+    server_.connections_.erase(shared_from_this());
+}
+
+void http_server_connection::handle_ready(int mode) {
+    if (!closed_ && (mode & Poco::Net::PollSet::POLL_WRITE) != 0) {
+        write_pending();
+    }
+    if (!closed_ && (mode & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) != 0) {
+        read_available();
+    }
+}
+
+void http_server_connection::read_available() {
+    std::array<char, read_chunk_bytes> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    int received = 0;
+    try {
+        received = socket_.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+    } catch (const Poco::TimeoutException&) {
+        return;
+    } catch (const Poco::Exception&) {
+        close();
+        return;
+    }
+    if (received == 0) {
+        close();
+        return;
+    }
+    if (received > 0) {
+        input_.append(chunk.data(), static_cast<std::size_t>(received));
+        take_request();
+    }
+}
+
+void http_server_connection::take_request() {
+    if (awaiting_answer_ || closed_ || close_when_sent_) {
+        return;
+    }
+    const std::size_t end = input_.find(end_of_head);
+    if (end == std::string::npos) {
+        if (input_.size() > server_.limits_.max_head_bytes) {
+            refuse(431);
+        }
+        return;
+    }
+    http_request request;
+    const std::optional<http_head> head =
+        parse_request_head(std::string_view(input_).substr(0, end + end_of_head.size()), request);
+    if (!head || head->bytes > server_.limits_.max_head_bytes) {
+        refuse(head ? 431 : 400);
+        return;
+    }
+    if (head->chunked || head->content_length > server_.limits_.max_body_bytes) {
+        refuse(head->chunked ? 411 : 413);
+        return;
+    }
+    if (input_.size() < head->bytes + head->content_length) {
+        return;
+    }
+    request.body = input_.substr(head->bytes, head->content_length);
+    input_.erase(0, head->bytes + head->content_length);
+    dispatch(std::move(request), head->keep_alive);
+}
+
+void http_server_connection::refuse(int status) {
+    http_response response;
+    response.status = status;
+    // The rest of the input cannot be told apart from a next request.
+    input_.clear();
+    output_ += format_response(response, false);
+    close_when_sent_ = true;
+    write_pending();
+}
+
+void http_server_connection::dispatch(http_request&& request, bool keep_alive) {
+    awaiting_answer_ = true;
+    ++server_.active_;
+    const std::weak_ptr<http_server_connection> self = weak_from_this();
+    http_server* const server = &server_;
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    server_.handler_(std::move(request), [self, server, answered, keep_alive](http_response&& response) {
+        if (std::exchange(*answered, true)) {
+            return;
+        }
+        --server->active_;
+        if (const std::shared_ptr<http_server_connection> connection = self.lock()) {
+            connection->answer(std::move(response), keep_alive);
+        }
+    });
+}
+
+void http_server_connection::answer(http_response&& response, bool keep_alive) {
+    awaiting_answer_ = false;
+    if (closed_) {
+        return;
+    }
+    const bool stays_open = keep_alive && !server_.stopping_;
+    output_ += format_response(response, stays_open);
+    close_when_sent_ = !stays_open;
+    write_pending();
+    if (!closed_) {
+        take_request();
+    }
+}
+
+void http_server_connection::write_pending() {
+    while (sent_ < output_.size()) {
+        int written = 0;
+        try {
+            const std::string_view rest = std::string_view(output_).substr(sent_);
+            written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
+        } catch (const Poco::TimeoutException&) {
+            written = 0;
+        } catch (const Poco::Exception&) {
+            close();
+            return;
+        }
+        if (written <= 0) {
+            break;
+        }
+        sent_ += static_cast<std::size_t>(written);
+    }
+    if (sent_ == output_.size()) {
+        output_.clear();
+        sent_ = 0;
+        if (close_when_sent_) {
+            close();
+            return;
+        }
+    }
+    update_mode();
+}
+
+void http_server_connection::update_mode() {
+    const bool wants_write = !output_.empty();
+    if (wants_write == wants_write_) {
+        return;
+    }
+    wants_write_ = wants_write;
+    const int read = Poco::Net::PollSet::POLL_READ;
+    server_.loop_.change_mode(socket_, wants_write ? read | Poco::Net::PollSet::POLL_WRITE : read);
+}
+
+} // namespace egretstile
--- a/packages/daemon/source/net/event_loop.cpp
+++ b/packages/runtime/source/net/event_loop.cpp
@@ -1,6 +1,6 @@
-#include "net/event_loop.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/Net/SocketAddress.h>
 
@@ -8,7 +8,7 @@
 #include <array>
 #include <utility>
 
-namespace egretstile::daemon {
+namespace egretstile {
 
 namespace {
 
@@ -30,7 +30,8 @@
     {
         const std::lock_guard lock(mutex_);
         posted_.push_back(std::move(function));
-        must_wake = !std::exchange(wake_pending_, true);
+        // The loop's own thread looks at the posted functions before it waits again.
+        must_wake = runner_.load() != std::this_thread::get_id() && !std::exchange(wake_pending_, true);
     }
     if (must_wake) {
         wake();
@@ -61,6 +62,7 @@
 }
 
 void event_loop::run() {
+    runner_ = std::this_thread::get_id();
     while (!stopped_) {
         run_ready_sockets(time_to_next_timer());
         run_posted();
@@ -132,7 +134,13 @@
     }
 }
 
-milliseconds event_loop::time_to_next_timer() const {
+milliseconds event_loop::time_to_next_timer() {
+    {
+        const std::lock_guard lock(mutex_);
+        if (!posted_.empty()) {
+            return milliseconds(0);
+        }
+    }
     if (timers_.empty()) {
         return longest_wait;
     }
@@ -141,4 +149,4 @@
     return std::clamp(wait, milliseconds(0), longest_wait);
 }
 
-} // namespace egretstile::daemon
+} // namespace egretstile
--- a/packages/daemon/source/telemetry/log.cpp
+++ b/packages/runtime/source/telemetry/log.cpp
@@ -1,4 +1,4 @@
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <Poco/DateTime.h>
 #include <Poco/DateTimeFormatter.h>
@@ -11,7 +11,7 @@
 // NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables)
 INITIALIZE_EASYLOGGINGPP
 
-namespace egretstile::daemon {
+namespace egretstile {
 
 namespace {
 
@@ -123,4 +123,4 @@
     }
 }
 
-} // namespace egretstile::daemon
+} // namespace egretstile
--- a/packages/daemon/tests/telemetry/log_test.cpp
+++ b/packages/runtime/tests/telemetry/log_test.cpp
@@ -1,4 +1,4 @@
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/packages/wire/include/egretstile/wire/message/messages.hpp
+++ b/packages/wire/include/egretstile/wire/message/messages.hpp
@@ -4,6 +4,9 @@
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/base/resources.hpp>
+#include <egretstile/core/job/job_progress.hpp>
+#include <egretstile/core/job/job_spec.hpp>
+#include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/task/task.hpp>
 
 #include <array>
@@ -215,8 +218,56 @@
     task_record record;
 };
 
+/// From an entry to the leader, which answers with `leader_pong`: shows that the connection works.
+struct leader_ping {
+    std::uint64_t number{0};
+};
+
+struct leader_pong {
+    std::uint64_t number{0};
+    epoch_number epoch{0};
+    /// False while the leader loads the stored jobs.
+    bool serving{false};
+};
+
+/// The job is stored. Saves the leader the delay of its watch.
+struct job_accepted {
+    job_spec job;
+};
+
+/// The cancellation of the job is stored.
+struct job_cancelled {
+    job_id job;
+};
+
+struct job_query {
+    std::uint64_t call_id{0};
+    job_id job;
+};
+
+/// `known` is false also while the leader loads the stored jobs.
+struct job_answer {
+    std::uint64_t call_id{0};
+    bool known{false};
+    job_state state{job_state::queued};
+};
+
+struct pending_query {
+    std::uint64_t call_id{0};
+    std::string queue;
+};
+
+/// `known` is false while the leader loads the stored jobs.
+struct pending_answer {
+    std::uint64_t call_id{0};
+    bool known{false};
+    std::uint64_t count{0};
+};
+
 using message = std::variant<hello, heartbeat, heartbeat_reply, start_task, start_reply, evict_task,
                              throttle_task, serve_request, serve_reply, cancel_request,
-                             forward_submit, forward_query, forward_cancel, forward_reply>;
+                             forward_submit, forward_query, forward_cancel, forward_reply,
+                             vm_report, vm_orders, leader_ping, leader_pong, job_accepted,
+                             job_cancelled, job_query, job_answer, pending_query, pending_answer>;
 
 } // namespace egretstile::wire
