--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -42,6 +42,92 @@
     archive(value.run, value.shard, value.phase, value.checkpoint, value.detail);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, step_spec& value) {
+    archive(value.count, value.need, value.estimate_ms, value.after, value.checkpointing,
+            value.gang, value.rack_local, value.speculative, value.long_running,
+            value.fills_idle_cpu, value.required_label, value.preferred_rack, value.max_per_vm,
+            value.image, value.target_latency_ms, value.max_unavailable);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_schedule& value) {
+    archive(value.first_due_ms, value.interval_ms, value.repetitions);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, queue_policy& value) {
+    archive(value.name, value.host, value.path_prefix, value.service, value.priority,
+            value.max_attempts, value.slack_factor, value.target_completion, value.needs_advice);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_spec& value) {
+    archive(value.id, value.queue, value.policy, value.payload, value.steps, value.schedule, value.accepted_at_ms,
+            value.accepted_epoch);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_progress& value) {
+    archive(value.done, value.failed_attempts, value.last_attempt, value.checkpoint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_progress& value) {
+    archive(value.state, value.tasks);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_ref& value) {
+    archive(value.job, value.occurrence, value.step, value.index);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_attempt& value) {
+    archive(value.task, value.attempt);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, active_run& value) {
+    archive(value.run, value.checkpoint, value.percent, value.load);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ended_run& value) {
+    archive(value.number, value.run, value.outcome, value.checkpoint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, rejected_run& value) {
+    archive(value.run, value.reason);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, runner_registration& value) {
+    archive(value.life, value.service, value.failure_domain, value.rack, value.labels,
+            value.capacity, value.state, value.drain_remaining_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, start_order& value) {
+    archive(value.run, value.payload, value.checkpoint, value.ticket, value.fills_idle_cpu,
+            value.target_latency_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, vm_report& value) {
+    archive(value.vm, value.sequence, value.epoch, value.orders_seen, value.runner,
+            value.lists_known, value.lapsed, value.active, value.starting, value.ended,
+            value.rejected);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, vm_orders& value) {
+    archive(value.epoch, value.answered_report, value.permission_ms, value.number,
+            value.runner_life, value.acknowledged_ends, value.starts, value.stops,
+            value.attributes);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, shard_record& value) {
     archive(value.shard, value.epoch, value.owner, value.tasks);
@@ -191,4 +277,44 @@
     archive(value.call_id, value.outcome, value.reason, value.record);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, leader_ping& value) {
+    archive(value.number);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, leader_pong& value) {
+    archive(value.number, value.epoch, value.serving);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_accepted& value) {
+    archive(value.job);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_cancelled& value) {
+    archive(value.job);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_query& value) {
+    archive(value.call_id, value.job);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_answer& value) {
+    archive(value.call_id, value.known, value.state);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, pending_query& value) {
+    archive(value.call_id, value.queue);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, pending_answer& value) {
+    archive(value.call_id, value.known, value.count);
+}
+
 } // namespace egretstile::wire
--- a/packages/wire/include/egretstile/wire/record/record_codec.hpp
+++ b/packages/wire/include/egretstile/wire/record/record_codec.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <egretstile/core/job/job_progress.hpp>
+#include <egretstile/core/job/job_spec.hpp>
 #include <egretstile/core/plan/plan.hpp>
 #include <egretstile/core/shard/member_list.hpp>
 #include <egretstile/core/shard/shard_record.hpp>
@@ -24,4 +26,10 @@
 std::string encode_record(const member_list& value);
 std::optional<member_list> decode_member_list(std::string_view bytes);
 
+/// Stored jobs and their progress.
+std::string encode_record(const job_spec& value);
+std::optional<job_spec> decode_job_spec(std::string_view bytes);
+std::string encode_record(const job_progress& value);
+std::optional<job_progress> decode_job_progress(std::string_view bytes);
+
 } // namespace egretstile::wire
--- a/packages/wire/source/record/record_codec.cpp
+++ b/packages/wire/source/record/record_codec.cpp
@@ -63,4 +63,20 @@
     return decode<member_list>(bytes);
 }
 
+std::string encode_record(const job_spec& value) {
+    return encode(value);
+}
+
+std::optional<job_spec> decode_job_spec(std::string_view bytes) {
+    return decode<job_spec>(bytes);
+}
+
+std::string encode_record(const job_progress& value) {
+    return encode(value);
+}
+
+std::optional<job_progress> decode_job_progress(std::string_view bytes) {
+    return decode<job_progress>(bytes);
+}
+
 } // namespace egretstile::wire
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy curl python3
   libpoco-dev libcereal-dev prometheus-cpp-dev libeasyloggingpp-dev libboost-program-options-dev
-  libtomlplusplus-dev libxxhash-dev libcsv-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev)
+  libtomlplusplus-dev libxxhash-dev libcsv-dev rapidjson-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
--- a/testing/bench/deployment/deployment_run.cpp
+++ b/testing/bench/deployment/deployment_run.cpp
@@ -5,7 +5,7 @@
 #include "task_load.hpp"
 #include "vm_checks.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <functional>
 #include <future>
--- a/testing/capacity/main.cpp
+++ b/testing/capacity/main.cpp
@@ -1,8 +1,8 @@
 #include "model_agent.hpp"
-#include "net/event_loop.hpp"
-#include "telemetry/log.hpp"
+#include <egretstile/runtime/net/event_loop.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <boost/program_options.hpp>
 
--- a/testing/capacity/model_agent.cpp
+++ b/testing/capacity/model_agent.cpp
@@ -1,6 +1,6 @@
 #include "model_agent.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <utility>
 #include <variant>
--- a/testing/demo/demo_run.cpp
+++ b/testing/demo/demo_run.cpp
@@ -6,7 +6,7 @@
 #include "vm_checks.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/testing/harness/cluster.cpp
+++ b/testing/harness/cluster.cpp
@@ -1,6 +1,6 @@
 #include "cluster.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
--- a/testing/harness/tests/cluster_test.cpp
+++ b/testing/harness/tests/cluster_test.cpp
@@ -1,8 +1,8 @@
 #include "cluster.hpp"
 #include "vm_checks.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
-#include <egretstile/platform/worker/http_worker.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/infrastructure/worker/http_worker.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -35,8 +35,8 @@
 TEST_CASE("runs of a killed VM end in the log and the VM returns at the same port") {
     cluster cluster(standins_only(2));
     const std::uint16_t port = cluster.worker_port(0);
-    platform::http_worker first("127.0.0.1", port, milliseconds(2000));
-    platform::http_worker second("127.0.0.1", cluster.worker_port(1), milliseconds(2000));
+    infrastructure::http_worker first("127.0.0.1", port, milliseconds(2000));
+    infrastructure::http_worker second("127.0.0.1", cluster.worker_port(1), milliseconds(2000));
     REQUIRE(std::holds_alternative<std::monostate>(first.start(1, start_of("k", "work_ms=60000"))));
     cluster.kill_vm(0);
     REQUIRE(std::holds_alternative<std::monostate>(second.start(1, start_of("k", "work_ms=1"))));
@@ -56,11 +56,11 @@
     cluster_options options = standins_only(1);
     options.proxied = true;
     cluster cluster(options);
-    platform::http_worker linked("127.0.0.1", cluster.linked_worker_port(0), milliseconds(200));
-    platform::http_worker direct("127.0.0.1", cluster.worker_port(0), milliseconds(2000));
+    infrastructure::http_worker linked("127.0.0.1", cluster.linked_worker_port(0), milliseconds(200));
+    infrastructure::http_worker direct("127.0.0.1", cluster.worker_port(0), milliseconds(2000));
     CHECK(std::holds_alternative<worker_status>(linked.status(1)));
     CHECK(cluster.set_link_rule("worker-vm-0", "mode=cut"));
-    CHECK(std::get<platform::worker_error>(linked.status(1)) == platform::worker_error::no_answer);
+    CHECK(std::get<infrastructure::worker_error>(linked.status(1)) == infrastructure::worker_error::no_answer);
     CHECK(std::holds_alternative<worker_status>(direct.status(1)));
     CHECK(cluster.set_link_rule("worker-vm-0", "mode=none"));
     CHECK(std::holds_alternative<worker_status>(linked.status(1)));
--- a/testing/integration/requests/deployment.cpp
+++ b/testing/integration/requests/deployment.cpp
@@ -2,7 +2,7 @@
 
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
--- a/testing/integration/requests/leaving_test.cpp
+++ b/testing/integration/requests/leaving_test.cpp
@@ -3,7 +3,7 @@
 #include "vm_checks.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/testing/integration/requests/plan_test.cpp
+++ b/testing/integration/requests/plan_test.cpp
@@ -1,7 +1,7 @@
 #include "deployment.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/JSON/Array.h>
 #include <catch2/catch.hpp>
--- a/testing/integration/tasks/task_calls.cpp
+++ b/testing/integration/tasks/task_calls.cpp
@@ -4,7 +4,7 @@
 #include "wait_until.hpp"
 
 #include <egretstile/core/shard/shard_map.hpp>
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/wire/record/record_codec.hpp>
 
 #include <Poco/JSON/Object.h>
--- a/testing/standins/tests/key_value_standin_test.cpp
+++ b/testing/standins/tests/key_value_standin_test.cpp
@@ -1,7 +1,7 @@
 #include "cluster.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/key_value/http_key_value_store.hpp>
+#include <egretstile/infrastructure/key_value/http_key_value_store.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -10,15 +10,15 @@
 namespace egretstile::harness {
 namespace {
 
-using platform::http_key_value_store;
-using platform::store_error;
-using platform::stored_value;
+using infrastructure::http_key_value_store;
+using infrastructure::store_error;
+using infrastructure::stored_value;
 using std::chrono::milliseconds;
 
 constexpr milliseconds timeout{5000};
 
 template <typename Result>
-bool failed_with(const platform::store_result<Result>& result, store_error error) {
+bool failed_with(const infrastructure::store_result<Result>& result, store_error error) {
     return std::holds_alternative<store_error>(result) && std::get<store_error>(result) == error;
 }
 
@@ -35,7 +35,7 @@
     }
 
     revision_number put(const std::string& key, revision_number expected,
-                        const std::optional<platform::lease_id>& lease = std::nullopt) {
+                        const std::optional<infrastructure::lease_id>& lease = std::nullopt) {
         return std::get<revision_number>(store.compare_and_swap(key, expected, "value", lease));
     }
 
@@ -90,7 +90,7 @@
 // Guards against a session key that outlives its entry, or a lease that comes back.
 TEST_CASE("a lease that lapses deletes its keys for good and cannot be renewed") {
     key_value_fixture kv;
-    const auto lease = std::get<platform::lease_id>(kv.store.grant_lease(milliseconds(300)));
+    const auto lease = std::get<infrastructure::lease_id>(kv.store.grant_lease(milliseconds(300)));
     const revision_number revision = kv.put("session/a", 0, lease);
     CHECK(std::holds_alternative<std::monostate>(kv.store.renew_lease(lease)));
     // The lapse itself wakes the watch.
@@ -106,7 +106,7 @@
 // Guards against a renewal that revives a lease when no other call noticed its lapse.
 TEST_CASE("a renewal after the time to live finds no lease") {
     key_value_fixture kv;
-    const auto lease = std::get<platform::lease_id>(kv.store.grant_lease(milliseconds(50)));
+    const auto lease = std::get<infrastructure::lease_id>(kv.store.grant_lease(milliseconds(50)));
     const auto granted = std::chrono::steady_clock::now();
     REQUIRE(wait_until(
         [&] { return std::chrono::steady_clock::now() > granted + milliseconds(60); }, timeout));
@@ -116,7 +116,7 @@
 // Guards against a lease that ends while its entry renews it, or that revocation leaves alive.
 TEST_CASE("renewals keep a lease, revocation and the admin call end it") {
     key_value_fixture kv;
-    const auto lease = std::get<platform::lease_id>(kv.store.grant_lease(milliseconds(500)));
+    const auto lease = std::get<infrastructure::lease_id>(kv.store.grant_lease(milliseconds(500)));
     const revision_number revision = kv.put("session/a", 0, lease);
     for (int i = 0; i < 8; ++i) {
         // A watch without event also guards the wait of the watch.
@@ -126,7 +126,7 @@
     }
     CHECK(std::holds_alternative<std::monostate>(kv.store.revoke_lease(lease)));
     CHECK(kv.revision("session/a") == 0);
-    const auto other = std::get<platform::lease_id>(kv.store.grant_lease(milliseconds(60000)));
+    const auto other = std::get<infrastructure::lease_id>(kv.store.grant_lease(milliseconds(60000)));
     kv.put("session/b", 0, other);
     http_call(kv.deployment.key_value_port(),
               {"POST", "/admin/leases/" + other + "/lapse", "", {}, timeout});
--- a/testing/standins/tests/platform_client_test.cpp
+++ b/testing/standins/tests/platform_client_test.cpp
@@ -2,9 +2,9 @@
 #include "common/http_service.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
-#include <egretstile/platform/key_value/http_key_value_store.hpp>
-#include <egretstile/platform/worker/http_worker.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/infrastructure/key_value/http_key_value_store.hpp>
+#include <egretstile/infrastructure/worker/http_worker.hpp>
 
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
@@ -16,18 +16,18 @@
 namespace egretstile::harness {
 namespace {
 
-using platform::http_key_value_store;
-using platform::http_worker;
-using platform::store_error;
-using platform::stored_value;
-using platform::worker_error;
+using infrastructure::http_key_value_store;
+using infrastructure::http_worker;
+using infrastructure::store_error;
+using infrastructure::stored_value;
+using infrastructure::worker_error;
 using std::chrono::milliseconds;
 
 constexpr milliseconds timeout{2000};
 const std::string host = "127.0.0.1";
 
 template <typename Result>
-bool failed_with(const platform::store_result<Result>& result, store_error error) {
+bool failed_with(const infrastructure::store_result<Result>& result, store_error error) {
     return std::holds_alternative<store_error>(result) && std::get<store_error>(result) == error;
 }
 
--- a/testing/standins/tests/upstream_standin_test.cpp
+++ b/testing/standins/tests/upstream_standin_test.cpp
@@ -4,8 +4,8 @@
 #include "vm_checks.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
-#include <egretstile/platform/worker/http_worker.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/infrastructure/worker/http_worker.hpp>
 
 #include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
@@ -87,7 +87,7 @@
 TEST_CASE("batch tasks slow requests") {
     const cluster deployment(one_vm({"--service-us", "10000", "--jitter-percent", "0"}));
     const milliseconds::rep alone = time_of(deployment, 10);
-    platform::http_worker worker("127.0.0.1", deployment.worker_port(0), timeout);
+    infrastructure::http_worker worker("127.0.0.1", deployment.worker_port(0), timeout);
     worker_start start;
     start.run = {"batch", 1};
     start.spec.need = {32000, 1000, 0};
--- a/testing/standins/tests/worker_standin_test.cpp
+++ b/testing/standins/tests/worker_standin_test.cpp
@@ -2,27 +2,27 @@
 #include "vm_checks.hpp"
 #include "wait_until.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
-#include <egretstile/platform/worker/http_worker.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/infrastructure/worker/http_worker.hpp>
 
 #include <catch2/catch.hpp>
 
 namespace egretstile::harness {
 namespace {
 
-using platform::http_worker;
-using platform::worker_error;
+using infrastructure::http_worker;
+using infrastructure::worker_error;
 using std::chrono::milliseconds;
 
 constexpr milliseconds timeout{5000};
 
 template <typename Result>
-bool refused(const platform::worker_result<Result>& result) {
+bool refused(const infrastructure::worker_result<Result>& result) {
     return std::holds_alternative<worker_error>(result) &&
            std::get<worker_error>(result) == worker_error::refused;
 }
 
-bool done(const platform::worker_result<std::monostate>& result) {
+bool done(const infrastructure::worker_result<std::monostate>& result) {
     return std::holds_alternative<std::monostate>(result);
 }
 
--- a/testing/standins/vm/main.cpp
+++ b/testing/standins/vm/main.cpp
@@ -4,7 +4,7 @@
 #include "vm/upstream_service.hpp"
 #include "vm/worker_service.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <boost/program_options.hpp>
 
--- a/testing/standins/vm/run_table.cpp
+++ b/testing/standins/vm/run_table.cpp
@@ -1,6 +1,6 @@
 #include "vm/run_table.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <unistd.h>
 
--- a/testing/standins/vm/upstream_service.cpp
+++ b/testing/standins/vm/upstream_service.cpp
@@ -2,7 +2,7 @@
 
 #include "common/serve_answer.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <algorithm>
 #include <thread>
--- a/testing/standins/vm/worker_service.cpp
+++ b/testing/standins/vm/worker_service.cpp
@@ -1,6 +1,6 @@
 #include "vm/worker_service.hpp"
 
-#include <egretstile/platform/clock/boot_now.hpp>
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/testing/standins/vm/worker_service.hpp
+++ b/testing/standins/vm/worker_service.hpp
@@ -11,7 +11,7 @@
 namespace egretstile::standins {
 
 /// HTTP interface of the worker (docs/design.md, section 6; fields as in
-/// egretstile/platform/worker/http_worker.hpp). Thread-safe.
+/// egretstile/infrastructure/worker/http_worker.hpp). Thread-safe.
 class worker_service {
 public:
     /// Both references must outlive the service.
