jobs: keep final jobs after a change of leader, and survive closed handshakes

Cause: the time at which a job became final is not stored, so a new leader took all final jobs for long expired and removed them: callers got 410 for accepted jobs. An entry crashed when a connection closed before its handshake was complete, because its peer's name was read. Excluded: a crash in the loading of the stored jobs; the log ends between the claim and the listing's end, when agents connect.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -65,7 +65,7 @@
     /// An accepted job; known ones are ignored.
     void add_job(const job_spec& job);
     /// Stored progress of an added job. Call before the first report is taken.
-    void restore_progress(const job_id& id, const job_progress& progress);
+    void restore_progress(const job_id& id, const job_progress& progress, boot_time now);
     /// The job's cancellation is stored.
     void cancel_job(const job_id& id);
     bool knows(const job_id& id) const { return jobs_.find(id) != nullptr; }
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -55,9 +55,10 @@
     }
 }
 
-void job_scheduler::restore_progress(const job_id& id, const job_progress& progress) {
+void job_scheduler::restore_progress(const job_id& id, const job_progress& progress,
+                                     boot_time now) {
     if (job_entry* const job = jobs_.find(id)) {
-        jobs_.restore(*job, progress);
+        jobs_.restore(*job, progress, now);
     }
 }
 
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -58,7 +58,7 @@
     return added;
 }
 
-void job_table::restore(job_entry& job, const job_progress& progress) {
+void job_table::restore(job_entry& job, const job_progress& progress, boot_time now) {
     std::size_t position = 0;
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
         for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
@@ -78,6 +78,7 @@
         finish(job, progress.state);
         // A job that was done before its cancellation was stored stays done.
         job.state = progress.state;
+        job.final_at = now;
     } else if (job.state == job_state::queued) {
         job.state = progress.state;
     }
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -3,6 +3,7 @@
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace egretstile::daemon {
@@ -132,8 +133,13 @@
 }
 
 void job_entry_process::peer_closed(frame_connection& connection) {
-    const auto found = agents_.find(connection.peer().name);
-    if (found != agents_.end() && found->second.lock().get() == &connection) {
+    // A connection that closes during its handshake has no peer yet.
+    const auto found = std::find_if(
+        agents_.begin(), agents_.end(),
+        [&connection](const std::pair<const vm_name, std::weak_ptr<frame_connection>>& agent) {
+            return agent.second.lock().get() == &connection;
+        });
+    if (found != agents_.end()) {
         agents_.erase(found);
     }
 }
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -107,7 +107,7 @@
                      progress_revisions_[id] = item.revision;
                      if (const std::optional<job_progress> progress =
                              wire::decode_job_progress(item.value)) {
-                         scheduler_.restore_progress(id, *progress);
+                         scheduler_.restore_progress(id, *progress, boot_now());
                      }
                  }
                  load_vms();
--- a/packages/daemon/source/jobs/leader_link.cpp
+++ b/packages/daemon/source/jobs/leader_link.cpp
@@ -36,20 +36,21 @@
     if (!leader_) {
         return;
     }
+    // A connection may close after another leader is followed.
+    const std::string fields = "leader=" + leader->name + " epoch=" + std::to_string(leader->epoch);
     frame_connection::handlers callbacks;
-    callbacks.on_open = [this](frame_connection& /*connection*/, const wire::hello& /*hello*/) {
+    callbacks.on_open = [this, fields](frame_connection& /*connection*/,
+                                      const wire::hello& /*hello*/) {
         heard_at_ = boot_now();
-        write_log(log_part::leader, log_level::info, "Connected to the leader.",
-                  "leader=" + leader_->name + " epoch=" + std::to_string(leader_->epoch));
+        write_log(log_part::leader, log_level::info, "Connected to the leader.", fields);
         handlers_.on_open();
     };
     callbacks.on_message = [this](frame_connection& /*connection*/, wire::message&& message) {
         heard_at_ = boot_now();
         handlers_.on_message(std::move(message));
     };
-    callbacks.on_closed = [this](frame_connection& /*connection*/) {
-        write_log(log_part::leader, log_level::info, "Lost the connection to the leader.",
-                  "leader=" + leader_->name + " epoch=" + std::to_string(leader_->epoch));
+    callbacks.on_closed = [fields](frame_connection& /*connection*/) {
+        write_log(log_part::leader, log_level::info, "Lost the connection to the leader.", fields);
     };
     client_ = std::make_unique<frame_client>(loop_, leader_->address, peer_key, own_hello_,
                                              std::move(callbacks));
