interference: learn the pressure of images and guard latencies by it

Traces show two images that raise a latency from 85 to 1,180 ms with two tasks, while nine tasks of others add little. Now serving tasks are packed, pressures are learned for each image, light images go first, and all are stopped while a latency is over its target. Jobs that can still be in time go before late ones.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -140,6 +140,7 @@
     attempt_number next_attempt(const job_entry& job, const task_progress& progress) const;
     void advance_acknowledged(vm_state& vm);
     tracked_run* find_run(const task_attempt& run);
+    double pressure_of(const std::string& image) const;
     start_order attributes_of(const job_entry& job, const task_attempt& run) const;
     void note(const std::string& what, const std::string& fields) const;
 
@@ -154,6 +155,8 @@
     /// VMs of earlier leaders that have not reported yet, and until when they may run tasks.
     std::map<vm_name, boot_time> expected_;
     std::map<vm_name, outbox> outboxes_;
+    /// Largest pressure of each image that an agent has reported, and when.
+    std::map<std::string, double> pressures_;
 };
 
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -86,6 +86,10 @@
     const std::vector<active_run>& active() const { return active_; }
     /// Attributes of a run; null when they are not known.
     const start_order* attributes(const task_attempt& run) const;
+    /// Whether the runner lists ends that it may not forget yet.
+    bool has_unacknowledged_ends() const {
+        return !ended_.empty() && ended_.back().number > acknowledged_ends_;
+    }
     /// Whether something has happened that the leader should hear of at once.
     bool take_news() { return std::exchange(news_, false); }
 
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -19,6 +19,15 @@
     std::string ticket;
     bool fills_idle_cpu{false};
     std::uint32_t target_latency_ms{0};
+    /// Tasks of one image disturb others alike.
+    std::string image;
+    std::int64_t cpu_millicores{0};
+};
+
+/// How much tasks of an image that fill disturb those that serve, as one agent has learned it.
+struct image_pressure {
+    std::string image;
+    double pressure{0};
 };
 
 /// State of one VM, from its agent to the leader.
@@ -40,6 +49,7 @@
     std::vector<task_attempt> starting;
     std::vector<ended_run> ended;
     std::vector<rejected_run> rejected;
+    std::vector<image_pressure> pressures;
 };
 
 /// From the leader to one agent.
@@ -58,7 +68,7 @@
     std::vector<start_order> starts;
     std::vector<task_attempt> stops;
     /// Reported runs whose attributes the agent does not know because it was restarted. Only the
-    /// run, `fills_idle_cpu` and `target_latency_ms` are filled.
+    /// run and what matters for interference are filled.
     std::vector<start_order> attributes;
 };
 
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -17,6 +17,8 @@
     task_ref task;
     /// VMs that already run this task; a copy goes elsewhere.
     std::set<vm_name> excluded;
+    /// Learned pressure of the step's image on latencies; see `latency_guard`.
+    double pressure{0};
     /// VM on which the task failed last; used only when no other fits.
     vm_name disliked;
 };
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -56,7 +56,8 @@
     bool remove_run(const task_attempt& run);
     /// Processor time that no run has reserved.
     std::int64_t free_millicores() const;
-    bool has_serving_run() const;
+    /// Processor time that runs which serve have reserved.
+    std::int64_t serving_millicores() const;
     /// Processor time that the runs that fill would like to have.
     std::int64_t filling_millicores() const;
 };
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -23,6 +23,9 @@
                        });
 }
 
+/// Weight of a report that shows a lower pressure than is known.
+constexpr double pressure_decay = 0.02;
+
 const step_spec& step_of(const job_entry& job, const task_ref& task) {
     return job.spec.steps[task.step];
 }
@@ -121,6 +124,12 @@
     take_active(vm, report, now);
     take_rejected(vm, report, now);
     find_missing(vm, report, now);
+    for (const image_pressure& learned : report.pressures) {
+        double& known = pressures_[learned.image];
+        // Rises at once and falls slowly, because reports of several VMs alternate.
+        known = learned.pressure > known ? learned.pressure
+                                         : known + (learned.pressure - known) * pressure_decay;
+    }
     expected_.erase(report.vm);
     return true;
 }
@@ -460,12 +469,19 @@
     return found == task->runs.end() ? nullptr : &*found;
 }
 
+double job_scheduler::pressure_of(const std::string& image) const {
+    const auto known = pressures_.find(image);
+    return known == pressures_.end() ? 0.0 : known->second;
+}
+
 start_order job_scheduler::attributes_of(const job_entry& job, const task_attempt& run) const {
     const step_spec& step = step_of(job, run.task);
     start_order order;
     order.run = run;
     order.fills_idle_cpu = step.fills_idle_cpu;
     order.target_latency_ms = step.target_latency_ms;
+    order.image = step.image;
+    order.cpu_millicores = step.need.cpu_millicores;
     return order;
 }
 
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -1,7 +1,6 @@
 #include <egretstile/core/job/job_scheduler.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -13,19 +12,74 @@
 /// block of the one before, because it cannot know of all starts that are still on their way.
 constexpr attempt_number attempts_of_epoch = 1000;
 
-/// When the job should be done; later jobs wait for earlier ones.
-std::int64_t objective_ms(const job_entry& job) {
-    const double chain = static_cast<double>(job.chain.count()) * job.policy.slack_factor;
-    return job.spec.accepted_at_ms + static_cast<std::int64_t>(chain) +
-           job.policy.target_completion.count();
+/// Whether the job can still be done in time: first those that can be, last those that are so late
+/// that their result is worth nothing to the caller.
+enum class timeliness : std::uint8_t { in_time, late, too_late };
+
+/// A job that takes up to this many times its objective is late, and then of no use.
+constexpr double late_factor = 3.0;
+
+/// Longest chain of estimated run times of what is left.
+milliseconds remaining_chain(const job_entry& job) {
+    milliseconds longest(0);
+    const occurrence_state& occurrence = job.occurrences.back();
+    std::vector<milliseconds> until_end(job.spec.steps.size(), milliseconds(0));
+    for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+        milliseconds before(0);
+        for (const std::uint32_t earlier : job.spec.steps[step].after) {
+            before = std::max(before, until_end[earlier]);
+        }
+        const bool done =
+            occurrence.steps[step].done_count == occurrence.steps[step].tasks.size();
+        until_end[step] =
+            before + milliseconds(done ? 0 : job.spec.steps[step].estimate_ms);
+        longest = std::max(longest, until_end[step]);
+    }
+    return longest;
 }
 
-std::vector<job_entry*> in_order(const std::set<job_entry*>& jobs) {
-    std::vector<job_entry*> ordered(jobs.begin(), jobs.end());
-    std::sort(ordered.begin(), ordered.end(), [](const job_entry* left, const job_entry* right) {
-        return std::make_tuple(left->policy.priority, objective_ms(*left), std::cref(left->spec.id)) <
-               std::make_tuple(right->policy.priority, objective_ms(*right), std::cref(right->spec.id));
-    });
+/// Sorts by priority, then by timeliness, then by the time at which the job should be done.
+struct job_rank {
+    std::uint32_t priority{0};
+    timeliness timely{timeliness::in_time};
+    std::int64_t objective_ms{0};
+    job_entry* job{nullptr};
+
+    friend bool operator<(const job_rank& left, const job_rank& right) {
+        return std::tie(left.priority, left.timely, left.objective_ms, left.job->spec.id) <
+               std::tie(right.priority, right.timely, right.objective_ms, right.job->spec.id);
+    }
+};
+
+job_rank rank_of(job_entry& job, std::int64_t wall_ms) {
+    const double objective = static_cast<double>(job.chain.count()) * job.policy.slack_factor +
+                             static_cast<double>(job.policy.target_completion.count());
+    const std::int64_t end = wall_ms + remaining_chain(job).count();
+    job_rank rank;
+    rank.priority = job.policy.priority;
+    rank.objective_ms = job.spec.accepted_at_ms + static_cast<std::int64_t>(objective);
+    rank.job = &job;
+    if (end > rank.objective_ms) {
+        rank.objective_ms = job.spec.accepted_at_ms + static_cast<std::int64_t>(objective * late_factor);
+        rank.timely = end > rank.objective_ms ? timeliness::too_late : timeliness::late;
+    }
+    // What runs until it is cancelled or at set times has no end to be late for.
+    if (job.chain.count() == 0 || job.spec.schedule.repetitions > 0) {
+        rank.timely = timeliness::in_time;
+    }
+    return rank;
+}
+
+std::vector<job_entry*> in_order(const std::set<job_entry*>& jobs, std::int64_t wall_ms) {
+    std::vector<job_rank> ranks;
+    for (job_entry* const job : jobs) {
+        ranks.push_back(rank_of(*job, wall_ms));
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<job_entry*> ordered;
+    for (const job_rank& rank : ranks) {
+        ordered.push_back(rank.job);
+    }
     return ordered;
 }
 
@@ -74,7 +128,7 @@
 }
 
 void job_scheduler::start_waiting(boot_time now, std::int64_t wall_ms) {
-    for (job_entry* const job : in_order(jobs_.unfinished())) {
+    for (job_entry* const job : in_order(jobs_.unfinished(), wall_ms)) {
         if (is_recovering() && job->spec.accepted_epoch < epoch_) {
             continue;
         }
@@ -118,6 +172,7 @@
     request.step = &job.spec.steps[task.step];
     request.task = task;
     request.disliked = state.failed_on;
+    request.pressure = pressure_of(request.step->image);
     for (const tracked_run& run : state.runs) {
         request.excluded.insert(run.vm);
     }
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -1,3 +1,4 @@
+#include <egretstile/core/interference/latency_guard.hpp>
 #include <egretstile/core/job/task_placer.hpp>
 
 #include <algorithm>
@@ -12,7 +13,27 @@
 constexpr double avoided_penalty = 20.0;
 /// Below the penalty of a VM that fails its tasks: remote data only slows a task down.
 constexpr double remote_rack_penalty = 2.0;
-constexpr double interference_penalty = 1.0;
+/// A serving task prefers a VM that others fill to none, but any without them to it.
+constexpr double filled_penalty = 2.0;
+
+/// A VM with serving tasks is filled when the others are loaded this much more; longer for images
+/// that press on latencies.
+constexpr double disturbance_penalty = 0.4;
+constexpr double pressure_penalty = 0.1;
+
+/// A task that fills waits rather than make the others on its VM slower than this: at half their
+/// speed, jobs just meet the usual objective of twice their longest chain.
+constexpr double longest_filling_load = 1.7;
+
+/// How much more the tasks that fill would like than the VM can give them, with this one.
+double filling_load(const vm_state& vm, const step_spec& step) {
+    const std::int64_t serving = vm.serving_millicores();
+    const double room = fillable_millicores({}, vm.runner.capacity.cpu_millicores, serving,
+                                            vm.reserved.cpu_millicores - serving);
+    const double wanted =
+        static_cast<double>(vm.filling_millicores() + step.need.cpu_millicores);
+    return wanted / std::max(room, 1.0);
+}
 
 double reserved_share(const vm_state& vm) {
     const double capacity = static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
@@ -38,17 +59,19 @@
     return cost;
 }
 
-/// A task that fills gets what the others leave and disturbs those that serve; one that serves goes
-/// where others do.
+/// Serving tasks are packed on few VMs, so that the others can be filled without disturbing any.
 double separating_cost(const vm_state& vm, const placement_request& request, boot_time now) {
     const double cost = common_cost(vm, request, now);
     if (request.step->fills_idle_cpu) {
-        return cost + reserved_share(vm) + filling_share(vm) +
-               (vm.has_serving_run() ? interference_penalty : 0.0);
+        const bool disturbs = vm.serving_millicores() > 0;
+        return cost + filling_load(vm, *request.step) +
+               (disturbs ? disturbance_penalty + pressure_penalty * request.pressure : 0.0);
     }
     if (request.step->target_latency_ms > 0) {
-        return cost + 2.0 * filling_share(vm) + 0.5 * reserved_share(vm) -
-               (vm.has_serving_run() ? interference_penalty : 0.0);
+        const double capacity =
+            static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
+        return cost + filled_penalty * filling_share(vm) -
+               static_cast<double>(vm.serving_millicores()) / capacity;
     }
     return cost + reserved_share(vm) + 0.3 * filling_share(vm);
 }
@@ -111,6 +134,10 @@
     if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
         return false;
     }
+    if (step.fills_idle_cpu && vm.filling_millicores() > 0 &&
+        filling_load(vm, step) > longest_filling_load) {
+        return false;
+    }
     const std::vector<std::string>& labels = vm.runner.labels;
     if (!step.required_label.empty() &&
         std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
--- a/packages/core/source/job/vm_table.cpp
+++ b/packages/core/source/job/vm_table.cpp
@@ -1,7 +1,5 @@
 #include <egretstile/core/job/vm_table.hpp>
 
-#include <algorithm>
-
 namespace egretstile {
 
 void vm_state::add_run(const task_attempt& run, const vm_run& needs) {
@@ -24,9 +22,14 @@
     return runner.capacity.cpu_millicores - reserved.cpu_millicores;
 }
 
-bool vm_state::has_serving_run() const {
-    return std::any_of(runs.begin(), runs.end(),
-                       [](const std::pair<const task_attempt, vm_run>& run) { return run.second.serves; });
+std::int64_t vm_state::serving_millicores() const {
+    std::int64_t sum = 0;
+    for (const auto& [run, needs] : runs) {
+        if (needs.serves) {
+            sum += needs.reserved.cpu_millicores;
+        }
+    }
+    return sum;
 }
 
 std::int64_t vm_state::filling_millicores() const {
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -21,8 +21,9 @@
 constexpr milliseconds report_delay{5};
 /// The runner answers at an end or after this; renews the lease of 3 s well before it ends.
 constexpr milliseconds renewal_wait{400};
-constexpr milliseconds renewal_pause{100};
-constexpr milliseconds work_interval{50};
+/// Pause between looks at the lists while ends wait for their acknowledgement.
+constexpr milliseconds unacknowledged_pause{25};
+constexpr milliseconds work_interval{30};
 /// Lost sight of the leader: the control keys are read again this often.
 constexpr milliseconds search_interval{400};
 
@@ -199,11 +200,16 @@
 }
 
 void job_agent_process::renew() {
+    // With ends in its list the runner answers at once; the acknowledgement is on its way.
+    if (tracker_.has_unacknowledged_ends() && boot_now() < renewed_at_ + unacknowledged_pause) {
+        return;
+    }
     if (renewing_ || tracker_.epoch() == 0 || runner_id_.empty() ||
         tracker_.registration().state == runner_state::absent) {
         return;
     }
     renewing_ = true;
+    renewed_at_ = boot_now();
     lease_renewal renewal;
     renewal.lease_until_ms = tracker_.lease_until_ms(boot_now()).value_or(0);
     renewal.acknowledged_ends = tracker_.acknowledged_ends();
@@ -257,12 +263,13 @@
         if (const start_order* const known = tracker_.attributes(active.run)) {
             const bool serves = known->target_latency_ms > 0;
             runs.push_back({active.run, known->fills_idle_cpu, known->target_latency_ms,
-                            serves ? active.load : 0});
+                            serves ? active.load : 0, known->cpu_millicores, known->image});
         }
     }
-    for (const speed_change& change : guard_.update(runs, boot_now())) {
+    for (const speed_change& change : guard_.update(runs, tracker_.registration().capacity.cpu_millicores, boot_now())) {
         write_log(log_part::worker, log_level::info, "Changes the speed of a task.",
-                  fields_of(change.run) + " percent=" + std::to_string(change.percent));
+                  fields_of(change.run) + " percent=" + std::to_string(change.percent) +
+                      " worst_latency_share=" + std::to_string(guard_.worst_share()));
         runner_->throttle(change.run, change.percent, tracker_.epoch(),
                           [this, run = change.run](std::variant<runner_done, runner_refusal>&& answer) {
                               if (std::holds_alternative<runner_refusal>(answer)) {
@@ -282,7 +289,11 @@
     report_requested_ = false;
     reported_at_ = boot_now();
     if (link_.is_open()) {
-        link_.send(tracker_.make_report(settings_.common.vm, reported_at_));
+        vm_report current = tracker_.make_report(settings_.common.vm, reported_at_);
+        for (const auto& [image, pressure] : guard_.pressures()) {
+            current.pressures.push_back({image, pressure});
+        }
+        link_.send(current);
     }
 }
 
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -62,6 +62,7 @@
     std::int64_t runner_born_ms_{0};
     std::uint64_t heartbeat_sequence_{0};
     bool renewing_{false};
+    boot_time renewed_at_{};
     bool report_requested_{false};
     boot_time reported_at_{};
     std::uint64_t renewals_failed_{0};
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -27,6 +27,23 @@
 /// The epoch and each job's progress are expected, and each progress is written.
 constexpr std::size_t jobs_per_commit = (max_transaction_entries - 1) / 2;
 
+/// One step as COUNTxMILLICORESxESTIMATE, with a letter for each property that matters for placement.
+std::string summary_of(const step_spec& step) {
+    return std::to_string(step.count) + "x" + std::to_string(step.need.cpu_millicores) + "m" +
+           std::to_string(step.estimate_ms) + "ms" + (step.fills_idle_cpu ? "f" : "") +
+           (step.long_running ? "l" : "") + (step.target_latency_ms > 0 ? "t" : "") +
+           (step.speculative ? "s" : "") + (step.gang ? "g" : "") +
+           (step.max_per_vm > 0 ? "a" + std::to_string(step.max_per_vm) : "");
+}
+
+std::string summary_of(const job_spec& job) {
+    std::string text;
+    for (const step_spec& step : job.steps) {
+        text += (text.empty() ? "" : ",") + summary_of(step);
+    }
+    return text;
+}
+
 bool ends_with(const std::string& text, const std::string& end) {
     return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
 }
@@ -214,7 +231,8 @@
     if (!scheduler_.knows(job.id)) {
         write_log(log_part::leader, log_level::info, "Takes a job.",
                   "job=" + job.id + " queue=" + job.queue +
-                      " steps=" + std::to_string(job.steps.size()));
+                      " priority=" + std::to_string(job.policy.priority) +
+                      " steps=" + summary_of(job));
         scheduler_.add_job(job);
         request_pass();
     }
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -111,14 +111,19 @@
 template <typename Archive>
 void serialize(Archive& archive, start_order& value) {
     archive(value.run, value.payload, value.checkpoint, value.ticket, value.fills_idle_cpu,
-            value.target_latency_ms);
+            value.target_latency_ms, value.image, value.cpu_millicores);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, image_pressure& value) {
+    archive(value.image, value.pressure);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, vm_report& value) {
     archive(value.vm, value.sequence, value.epoch, value.orders_seen, value.runner,
             value.lists_known, value.lapsed, value.active, value.starting, value.ended,
-            value.rejected);
+            value.rejected, value.pressures);
 }
 
 template <typename Archive>
