jobs: rule a late start out after a refused repetition; start one task of an idle job

Now a refused repetition is followed by a stop, which the runner confirms. A job without any run now gets a task started all the same.

--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -61,7 +61,8 @@
 
     /// Results of calls.
     void start_done(const task_attempt& run, std::int64_t clock_ms);
-    /// Nothing was started and nothing will be.
+    /// This try started nothing. The run is rejected at once, or after a stop when an earlier try had
+    /// no answer.
     void start_rejected(const task_attempt& run, const std::string& reason);
     /// The runner has had the run, or a later one.
     void start_was_old(const task_attempt& run, std::int64_t clock_ms);
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -19,6 +19,8 @@
     std::set<vm_name> excluded;
     /// Learned pressure of the step's image on latencies; see `latency_guard`.
     double pressure{0};
+    /// Nothing of the job runs: the task may slow down what fills beside it.
+    bool job_is_idle{false};
     /// VM on which the task failed last; used only when no other fits.
     vm_name disliked;
 };
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -69,6 +69,19 @@
     return rank;
 }
 
+bool has_runs(const job_entry& job) {
+    for (const occurrence_state& occurrence : job.occurrences) {
+        for (const step_state& step : occurrence.steps) {
+            for (const job_task& task : step.tasks) {
+                if (!task.runs.empty()) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
 std::vector<job_entry*> in_order(const std::set<job_entry*>& jobs, std::int64_t wall_ms) {
     std::vector<job_rank> ranks;
     ranks.reserve(jobs.size());
@@ -222,7 +235,11 @@
     for (const tracked_run& run : state.runs) {
         request.excluded.insert(run.vm);
     }
-    vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
+    vm_state* vm = placer_->choose(request, vms_, closed_domains_, now);
+    if (vm == nullptr && request.step->fills_idle_cpu && !has_runs(job)) {
+        request.job_is_idle = true;
+        vm = placer_->choose(request, vms_, closed_domains_, now);
+    }
     if (vm == nullptr) {
         return false;
     }
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -144,9 +144,17 @@
 }
 
 void run_tracker::start_rejected(const task_attempt& run, const std::string& reason) {
-    if (starts_.erase(run) != 0) {
-        reject(run, reason);
+    const auto found = starts_.find(run);
+    if (found == starts_.end()) {
+        return;
+    }
+    if (found->second.tries > 1) {
+        // An earlier try had no answer and may still be carried out.
+        stops_.emplace(run, pending_stop());
+        return;
     }
+    starts_.erase(found);
+    reject(run, reason);
 }
 
 void run_tracker::start_was_old(const task_attempt& run, std::int64_t clock_ms) {
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -145,7 +145,8 @@
     if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
         return false;
     }
-    if (step.fills_idle_cpu && (vm.filling_millicores() > 0 || vm.serving_millicores() > 0) &&
+    if (step.fills_idle_cpu && !request.job_is_idle &&
+        (vm.filling_millicores() > 0 || vm.serving_millicores() > 0) &&
         filling_load(vm, request) > longest_filling_load) {
         return false;
     }
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -184,5 +184,23 @@
     CHECK(vm.exchange().starts.size() == 1);
 }
 
+// Guards against the pattern in which serving tasks are everywhere and work that fills waits for
+// ever, although nearly all processor time is idle.
+TEST_CASE("a job that fills gets a task started beside serving tasks") {
+    one_vm vm;
+    job_spec serving = make_job("serving", 1, 1000);
+    serving.steps[0].long_running = true;
+    serving.steps[0].target_latency_ms = 100;
+    vm.scheduler.add_job(serving);
+    vm.exchange();
+    REQUIRE(vm.exchange().starts.empty());
+    vm.report.pressures = {{"heavy", 200.0}};
+    job_spec filling = make_job("filling", 3, 5000);
+    filling.steps[0].fills_idle_cpu = true;
+    filling.steps[0].image = "heavy";
+    vm.scheduler.add_job(filling);
+    CHECK(vm.exchange().starts.size() == 1);
+}
+
 } // namespace
 } // namespace egretstile
--- a/packages/core/tests/job/model/job_world.cpp
+++ b/packages/core/tests/job/model/job_world.cpp
@@ -192,6 +192,10 @@
         });
         return;
     }
+    if (static_cast<double>(random_ms(0, 9999)) / 10000.0 < troubles_.refused_calls) {
+        tracker.start_rejected(order.run, "unhealthy");
+        return;
+    }
     switch (runner(name).start(order.run, *lease, epoch, work, now_ms_)) {
     case start_answer::started:
         tracker.start_done(order.run, runner(name).clock_ms(now_ms_));
--- a/packages/core/tests/job/model/job_world.hpp
+++ b/packages/core/tests/job/model/job_world.hpp
@@ -26,6 +26,8 @@
     double runner_crash{0.02};
     /// Share of the calls to runners that get no answer and are carried out up to 3 s later.
     double late_calls{0.05};
+    /// Share of the starts that runners refuse because they are unhealthy for a moment.
+    double refused_calls{0.1};
 };
 
 /// Leaders, agents, runners and what is stored, stepped through random delays, losses and changes
