jobs: keep the runs of a restarted agent; forget VMs that have left

A VM that holds nothing and is silent is now unregistered. Also, a restarted agent counts on a lease that its predecessor may have given.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -28,6 +28,8 @@
     double clock_drift{0.02};
     /// Allowance for the delay between the end of a lease and the end of its tasks.
     milliseconds lapse_margin{500};
+    /// A VM that has not reported for this long and holds nothing is forgotten.
+    milliseconds forget_after{2000};
     /// Pause before a task is started again after a failure or a refusal.
     milliseconds retry_pause{100};
     /// An unanswered stop is ordered again after this.
@@ -81,6 +83,13 @@
     /// A VM that may be used from now on.
     void register_vm(const vm_name& name) { vms_[name].name = name; }
 
+    /// VMs on which certainly nothing runs and that have not reported for a while. A later leader
+    /// need not wait for them, so their registration can be removed.
+    std::vector<vm_name> idle_vms(boot_time now) const;
+
+    /// The VM's registration was removed. Precondition: no report was taken in since `idle_vms`.
+    void forget_vm(const vm_name& name) { vms_.erase(name); }
+
     bool is_registered(const vm_name& name) const { return vms_.count(name) != 0; }
 
     /// The store has confirmed that this leader was still the only one at `time`.
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -61,8 +61,8 @@
 
     /// Results of calls.
     void start_done(const task_attempt& run, std::int64_t clock_ms);
-    /// This try started nothing. The run is rejected at once, or after a stop when an earlier try had
-    /// no answer.
+    /// This try started nothing. The run is rejected at once, or after a stop when an earlier try
+    /// had no answer.
     void start_rejected(const task_attempt& run, const std::string& reason);
     /// The runner has had the run, or a later one.
     void start_was_old(const task_attempt& run, std::int64_t clock_ms);
@@ -106,6 +106,8 @@
 
 private:
     std::optional<boot_time> report_sent_at(std::uint64_t sequence) const;
+    /// How long a lease may last on this VM's clock until its tasks have ended.
+    milliseconds longest_lease(milliseconds length) const;
     void forget_runner();
 
     bool is_silent(boot_time now) const { return now >= clock_read_at_ + settings_.silence_limit; }
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -38,6 +38,7 @@
     bool usable{false};
     /// Until then the runs that were reported or ordered may go on without a word of the agent.
     boot_time may_run_until{};
+    boot_time reported_at{};
     std::map<task_attempt, vm_run> runs;
     resources reserved;
     /// Last report that was taken in on this connection.
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -109,6 +109,15 @@
         vm.acknowledged_end = 0;
         vm.unacknowledged.clear();
     }
+    vm.reported_at = now;
+    if (report.runner.life.empty()) {
+        // A restarted agent that has not heard of its runner yet; what runs there goes on.
+        vm.usable = false;
+        return false;
+    }
+    if (report.lapsed) {
+        vm.may_run_until = now;
+    }
     vm.runner = report.runner;
     vm.usable = report.lists_known && !report.lapsed;
     if (report.lapsed) {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -125,6 +125,18 @@
     }
 }
 
+std::vector<vm_name> job_scheduler::idle_vms(boot_time now) const {
+    std::vector<vm_name> names;
+    for (const auto& [name, vm] : vms_) {
+        const bool over = now >= vm.may_run_until && confirmed_at_ >= vm.may_run_until;
+        const bool silent = now >= vm.reported_at + settings_.forget_after;
+        if (vm.runs.empty() && over && silent && expected_.count(name) == 0) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void job_scheduler::move_from_draining(boot_time now) {
     for (auto& [name, vm] : vms_) {
         if (!vm.usable || vm.runner.state != runner_state::draining) {
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -195,6 +195,10 @@
     }
     clock_ms_ = clock_ms;
     clock_read_at_ = now;
+    if (leased_until_ == boot_time()) {
+        // A former agent of this VM may have given a lease right before.
+        leased_until_ = now + longest_lease(settings_.runner_lease);
+    }
     const bool new_end =
         !ended.empty() && (ended_.empty() || ended.back().number > ended_.back().number);
     active_ = std::move(active);
@@ -249,6 +253,12 @@
     return runner_now + length.count();
 }
 
+milliseconds run_tracker::longest_lease(milliseconds length) const {
+    const double slow = 1.0 - settings_.clock_drift;
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(length.count()) / slow)) +
+           settings_.lapse_margin;
+}
+
 vm_report run_tracker::make_report(const vm_name& vm, boot_time now) {
     vm_report report;
     report.vm = vm;
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -202,5 +202,44 @@
     CHECK(vm.exchange().starts.size() == 1);
 }
 
+// Guards against the pattern in which VMs that were replaced long ago keep a new leader waiting.
+TEST_CASE("a VM that has left is forgotten, one that may run tasks is not") {
+    one_vm vm;
+    vm.scheduler.add_job(make_job("job", 1, 1000));
+    vm.exchange();
+    const boot_time silent = vm.now() + milliseconds(5000);
+    vm.scheduler.confirm_leadership(silent);
+    CHECK(vm.scheduler.idle_vms(silent).empty());
+    vm.report.lapsed = true;
+    vm.exchange();
+    const boot_time later = vm.now() + milliseconds(5000);
+    vm.scheduler.confirm_leadership(later);
+    CHECK(vm.scheduler.idle_vms(later) == std::vector<vm_name>{"vm"});
+}
+
+// Guards against a second run beside the first: a restarted agent reports before its runner has
+// registered again.
+TEST_CASE("a report without a runner does not end what runs on the VM") {
+    one_vm vm;
+    vm.scheduler.add_job(make_job("job", 1, 1000));
+    vm.exchange();
+    REQUIRE(vm.report.active.size() == 1);
+    const vm_report complete = vm.report;
+    vm.scheduler.agent_connected("vm");
+    vm.report = vm_report();
+    vm.report.vm = "vm";
+    vm.report.epoch = 1;
+    CHECK(vm.exchange().starts.empty());
+    // Then the runner has registered, but its lists have not been read.
+    vm.report.runner = complete.runner;
+    CHECK(vm.exchange().starts.empty());
+    const std::uint64_t sequence = vm.report.sequence;
+    vm.report = complete;
+    vm.report.sequence = sequence;
+    const vm_orders orders = vm.exchange();
+    CHECK(orders.starts.empty());
+    CHECK(orders.stops.empty());
+}
+
 } // namespace
 } // namespace egretstile
--- a/packages/core/tests/job/model/job_world.cpp
+++ b/packages/core/tests/job/model/job_world.cpp
@@ -65,6 +65,7 @@
             if (with_troubles && happens(troubles_.agent_restart)) {
                 current.tracker = std::make_unique<run_tracker>();
                 ++current.restarts;
+                current.registers_at_ms = now_ms_ + random_ms(0, 1500);
                 for (const std::shared_ptr<leader>& held : leaders_) {
                     held->connected.erase(name);
                 }
@@ -101,6 +102,10 @@
 
 void job_world::step_agent(const vm_name& name) {
     agent& current = agents_[name];
+    if (now_ms_ < current.registers_at_ms) {
+        send_report(name);
+        return;
+    }
     current.tracker->registered(registration_of(runner(name)));
     call_runner(name);
     if (now_ms_ >= current.next_report_ms || current.tracker->take_news()) {
--- a/packages/core/tests/job/model/job_world.hpp
+++ b/packages/core/tests/job/model/job_world.hpp
@@ -51,6 +51,8 @@
     struct agent {
         std::unique_ptr<run_tracker> tracker;
         std::size_t restarts{0};
+        /// The runner's next heartbeat, which a restarted agent waits for.
+        std::int64_t registers_at_ms{0};
         std::int64_t cut_until_ms{0};
         std::int64_t next_report_ms{0};
     };
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -22,6 +22,9 @@
 /// A watch that brings a change ends; one without changes is asked again after this.
 constexpr milliseconds job_watch_wait{5000};
 constexpr milliseconds expiry_interval{5000};
+constexpr milliseconds idle_interval{1000};
+/// The epoch and each registration are expected, and each registration is removed.
+constexpr std::size_t idle_per_commit = (max_transaction_entries - 1) / 2;
 /// Each expired job takes three removals, and the epoch one condition.
 constexpr std::size_t expired_per_commit = 10;
 /// The epoch and each job's progress are expected, and each progress is written.
@@ -77,6 +80,11 @@
             remove_expired();
         }
     });
+    loop_.call_every(idle_interval, [this, alive] {
+        if (!alive.expired()) {
+            remove_idle_vms();
+        }
+    });
     jobs_.start();
 }
 
@@ -153,6 +161,7 @@
                                                terms.permission_term * (1.0 + terms.clock_drift)) +
                                            terms.lapse_margin;
             for (const store_item& item : std::get<std::vector<store_item>>(result)) {
+                vm_revisions_[item.key.substr(store_keys::vm_prefix.size())] = item.revision;
                 scheduler_.expect_vm(item.key.substr(store_keys::vm_prefix.size()), silent_until);
             }
             start_serving();
@@ -189,6 +198,9 @@
     if (!serving_) {
         return;
     }
+    if (removing_.count(report.vm) != 0) {
+        return;
+    }
     if (!scheduler_.is_registered(report.vm)) {
         register_vm(report.vm);
         return;
@@ -222,7 +234,8 @@
                 return;
             }
             registering_.erase(name);
-            if (std::holds_alternative<store_commit>(result)) {
+            if (const store_commit* const commit = std::get_if<store_commit>(&result)) {
+                vm_revisions_[name] = commit->revision;
                 write_log(log_part::leader, log_level::info, "Uses a VM.", "vm=" + name);
                 scheduler_.register_vm(name);
                 handlers_.send(name, scheduler_.take_orders(name, 0));
@@ -361,6 +374,44 @@
     }
 }
 
+void job_leader::remove_idle_vms() {
+    if (!serving_ || !removing_.empty()) {
+        return;
+    }
+    std::vector<vm_name> idle = scheduler_.idle_vms(boot_now());
+    idle.resize(std::min(idle.size(), idle_per_commit));
+    if (idle.empty()) {
+        return;
+    }
+    store_transaction transaction;
+    transaction.expected = {{store_keys::epoch, leadership_.epoch_revision}};
+    for (const vm_name& name : idle) {
+        // The revision keeps a removal whose answer was lost from undoing a later registration.
+        transaction.expected.push_back({store_keys::vm(name), vm_revisions_[name]});
+        transaction.removals.push_back(store_keys::vm(name));
+        removing_.insert(name);
+    }
+    const std::weak_ptr<int> alive = alive_;
+    store_.commit(
+        transaction, commit_timeout,
+        [this, alive, idle](std::variant<store_commit, store_conflict, store_error>&& result) {
+            if (alive.expired()) {
+                return;
+            }
+            removing_.clear();
+            // Also after a lost answer: an unregistered VM is registered before its use.
+            const store_error* const error = std::get_if<store_error>(&result);
+            const bool unchanged = error != nullptr && *error != store_error::no_answer;
+            if (unchanged || std::holds_alternative<store_conflict>(result)) {
+                return;
+            }
+            for (const vm_name& name : idle) {
+                write_log(log_part::leader, log_level::info, "Forgets a VM.", "vm=" + name);
+                scheduler_.forget_vm(name);
+            }
+        });
+}
+
 void job_leader::remove_expired() {
     if (!serving_) {
         return;
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -83,6 +83,7 @@
                                   infrastructure::store_error>&& result);
     void take_conflict(const infrastructure::store_conflict& conflict);
     void remove_expired();
+    void remove_idle_vms();
 
     event_loop& loop_;
     infrastructure::coordination_store& store_;
@@ -98,6 +99,10 @@
     /// Revision of each stored progress.
     std::map<job_id, revision_number> progress_revisions_;
     std::set<vm_name> registering_;
+    /// Revision of each VM's registration.
+    std::map<vm_name, revision_number> vm_revisions_;
+    /// VMs whose registration is being removed; their reports wait until that is decided.
+    std::set<vm_name> removing_;
     /// Report of each VM that waits for an answer.
     std::map<vm_name, std::uint64_t> unanswered_reports_;
     /// Last acknowledged end that each VM was told of.
