jobs: ignore a report without a runner before anything is taken from it

Excluded: none further. Measured: in a copy without the check the test fails 2 of 7 assertions; with it core_tests pass 77,513 assertions.

--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -101,6 +101,12 @@
 bool job_scheduler::take_report(const vm_report& report, boot_time now) {
     vm_state& vm = vms_[report.vm];
     vm.name = report.vm;
+    vm.reported_at = now;
+    if (report.runner.life.empty()) {
+        // A restarted agent that has not heard of its runner yet; what runs there goes on.
+        vm.usable = false;
+        return false;
+    }
     if (report.lapsed || (vm.runner.life != report.runner.life && !report.runner.life.empty())) {
         lose_runs(vm, now, report.lapsed ? "lapsed" : "runner_restarted");
     }
@@ -109,12 +115,6 @@
         vm.acknowledged_end = 0;
         vm.unacknowledged.clear();
     }
-    vm.reported_at = now;
-    if (report.runner.life.empty()) {
-        // A restarted agent that has not heard of its runner yet; what runs there goes on.
-        vm.usable = false;
-        return false;
-    }
     if (report.lapsed) {
         vm.may_run_until = now;
     }
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -225,6 +225,13 @@
     vm.exchange();
     REQUIRE(vm.report.active.size() == 1);
     const vm_report complete = vm.report;
+    // Another VM could take the task.
+    vm.scheduler.register_vm("other");
+    vm_report other = complete;
+    other.vm = "other";
+    other.runner.life = "runner@2";
+    other.active.clear();
+    REQUIRE(vm.scheduler.take_report(other, vm.now()));
     vm.scheduler.agent_connected("vm");
     vm.report = vm_report();
     vm.report.vm = "vm";
@@ -233,6 +240,7 @@
     // Then the runner has registered, but its lists have not been read.
     vm.report.runner = complete.runner;
     CHECK(vm.exchange().starts.empty());
+    CHECK(vm.scheduler.take_orders("other", 0).starts.empty());
     const std::uint64_t sequence = vm.report.sequence;
     vm.report = complete;
     vm.report.sequence = sequence;
