--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -153,7 +153,7 @@
         tracker_.start_rejected(order.run, "no_permission");
         return;
     }
-    run_start start;
+    task_start start;
     start.run = order.run;
     start.payload = order.payload;
     start.checkpoint = order.checkpoint;
--- a/packages/infrastructure/include/egretstile/infrastructure/runner/task_runner.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/runner/task_runner.hpp
@@ -56,7 +56,7 @@
     std::vector<ended_run> ended;
 };
 
-struct run_start {
+struct task_start {
     task_attempt run;
     std::string payload;
     std::string checkpoint;
@@ -89,7 +89,7 @@
     task_runner& operator=(task_runner&&) = delete;
     virtual ~task_runner() = default;
 
-    virtual void start(const run_start& start, epoch_number epoch, done_callback done) = 0;
+    virtual void start(const task_start& start, epoch_number epoch, done_callback done) = 0;
     virtual void stop(const task_attempt& run, epoch_number epoch, done_callback done) = 0;
     /// Renews the lease of all that runs and reads the lists.
     virtual void renew(const lease_renewal& renewal, epoch_number epoch, lists_callback done) = 0;
