interference: learn the pressure of each pair of images

Cause: work that fills idle processor time stood still while most of that time was idle. One pressure for each image, learned from the ratio of latencies, made every image a heavy one, and all jobs were started at once and shared what was left. Change: pressure_model learns slopes from the differences of successive headrooms, in the leader for all VMs and in each agent for its own; the leader tells agents what it knows, agents a new leader. The guard spends each task's headroom on the images that press least, and stops all that fills beside a task that has been over its target for 1.2 s. Placement expects a speed from room and headroom; a task waits rather than start below 0.6 of its speed, unless half of the open VMs' time is not reserved. Serving tasks of one image are placed together. Excluded: a Kalman filter with a covariance for each task (trial): shared slopes made it overconfident, slopes of heavy pairs went to 0. Without a floor for light images every overload stopped all work (trial). Tests of core, wire, daemon, platform and runtime pass; lint clean.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace egretstile {
@@ -161,6 +162,8 @@
                         boot_time now);
     void start_waiting(boot_time now, std::int64_t wall_ms);
     void start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    /// Whether no VM had room for an equal task in this pass.
+    bool is_hopeless(const job_entry& job, const step_spec& step) const;
     void start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     bool start_task(job_entry& job, const task_ref& task, boot_time now);
     void order_start(job_entry& job, const task_ref& task, attempt_number attempt, vm_state& vm,
@@ -168,7 +171,12 @@
     attempt_number next_attempt(const job_entry& job, const task_progress& progress) const;
     void advance_acknowledged(vm_state& vm);
     tracked_run* find_run(const task_attempt& run);
-    double pressure_of(const std::string& image) const;
+    /// Learns from the latencies of a report and brings the VM's headroom up to date.
+    void observe_pressure(vm_state& vm, const vm_report& report, boot_time now);
+    void update_taken_headroom(vm_state& vm) const;
+    std::vector<image_pressure> unsent_pressures(const vm_state& vm);
+    /// Whether less than half of the processor time of the service's open VMs is reserved.
+    bool is_half_idle(const std::string& service) const;
     start_order attributes_of(const job_entry& job, const task_attempt& run) const;
     void note(const std::string& what, const std::string& fields) const;
 
@@ -184,8 +192,13 @@
     std::map<vm_name, boot_time> expected_;
     std::map<vm_name, outbox> outboxes_;
     boot_time confirmed_at_{};
-    /// Largest pressure of each image that an agent has reported, and when.
-    std::map<std::string, double> pressures_;
+    /// Tasks that fill for which no VM had room in the present pass, by service and image: the
+    /// smallest need.
+    std::map<std::pair<std::string, std::string>, resources> hopeless_;
+    std::map<std::string, bool> half_idle_;
+    pressure_model pressures_;
+    /// Slopes that each VM's agent was sent on its connection.
+    std::map<vm_name, std::map<std::pair<std::string, std::string>, double>> slopes_sent_;
 };
 
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -93,6 +93,9 @@
 
     const std::vector<active_run>& active() const { return active_; }
 
+    /// Runs that the runner has confirmed and not listed yet.
+    std::vector<task_attempt> unlisted() const;
+
     /// Attributes of a run; null when they are not known.
     const start_order* attributes(const task_attempt& run) const;
 
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/interference/pressure_model.hpp>
 #include <egretstile/core/job/runner_types.hpp>
 
 #include <cstdint>
@@ -24,11 +25,8 @@
     std::int64_t cpu_millicores{0};
 };
 
-/// How much tasks of an image that fill disturb those that serve, as one agent has learned it.
-struct image_pressure {
-    std::string image;
-    double pressure{0};
-};
+/// The run as the interference control sees it. Thread-safe.
+guarded_run guarded_run_of(const active_run& active, const start_order& attributes);
 
 /// State of one VM, from its agent to the leader.
 struct vm_report {
@@ -49,6 +47,7 @@
     std::vector<task_attempt> starting;
     std::vector<ended_run> ended;
     std::vector<rejected_run> rejected;
+    /// What the agent has learned, in the first report on a connection: a new leader knows nothing.
     std::vector<image_pressure> pressures;
 };
 
@@ -73,6 +72,8 @@
     /// Reported runs whose attributes the agent does not know because it was restarted. Only the
     /// run and what matters for interference are filled.
     std::vector<start_order> attributes;
+    /// What the leader has learned of the images on this VM and has not sent yet.
+    std::vector<image_pressure> pressures;
 };
 
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/interference/pressure_model.hpp>
 #include <egretstile/core/job/job_table.hpp>
 #include <egretstile/core/job/vm_table.hpp>
 
@@ -17,10 +18,10 @@
     task_ref task;
     /// VMs that already run this task; a copy goes elsewhere.
     std::set<vm_name> excluded;
-    /// Learned pressure of the step's image on latencies; see `latency_guard`.
-    double pressure{0};
-    /// Nothing of the job runs: the task may slow down what fills beside it.
-    bool job_is_idle{false};
+    /// What is known of the pressure of images; null: nothing.
+    const pressure_model* pressures{nullptr};
+    /// The task may start where it will be slow.
+    bool accept_slow{false};
     /// VM on which the task failed last; used only when no other fits.
     vm_name disliked;
 };
@@ -56,6 +57,10 @@
                      const std::set<failure_domain_name>& closed_domains, boot_time now) override;
 };
 
+/// Speed, from 0 to 1, at which a task of a step that fills can be expected to work on the VM.
+/// Thread-safe.
+double expected_speed(const vm_state& vm, const placement_request& request);
+
 /// What a task of the step takes on a VM. Thread-safe.
 vm_run needs_of(const step_spec& step);
 
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace egretstile {
 
@@ -20,6 +21,16 @@
     bool serves{false};
     /// How much processor time it takes at most, reserved or not.
     std::int64_t wanted_millicores{0};
+    std::string image;
+};
+
+/// Serving tasks of one image on a VM.
+struct serving_group {
+    std::string image;
+    /// Smallest headroom of the tasks without tasks that fill; see `pressure_model`.
+    double own_headroom{0};
+    /// What the tasks that fill on the VM are expected to take of it.
+    double taken_headroom{0};
 };
 
 /// An end that has been taken in and must be stored before the runner may forget it.
@@ -41,6 +52,16 @@
     boot_time reported_at{};
     std::map<task_attempt, vm_run> runs;
     resources reserved;
+    /// Processor time that runs which serve have reserved.
+    std::int64_t serving_millicores{0};
+    std::map<std::string, std::int64_t> serving_by_image;
+    /// Processor time that the runs that fill would like to have, of each image and of all.
+    std::map<std::string, std::int64_t> filling_by_image;
+    std::int64_t filling_millicores{0};
+    /// Processor time that serving tasks use for their users, as of the last report.
+    double serving_use{0};
+    /// One for each serving image, as of the last report; `taken_headroom` follows the runs.
+    std::vector<serving_group> serving;
     /// Last report that was taken in on this connection.
     std::uint64_t taken_report{0};
     /// Number of the last message with orders on this connection.
@@ -59,10 +80,6 @@
     bool remove_run(const task_attempt& run);
     /// Processor time that no run has reserved.
     std::int64_t free_millicores() const;
-    /// Processor time that runs which serve have reserved.
-    std::int64_t serving_millicores() const;
-    /// Processor time that the runs that fill would like to have.
-    std::int64_t filling_millicores() const;
 };
 
 using vm_table = std::map<vm_name, vm_state>;
--- a/packages/core/source/interference/latency_guard.cpp
+++ b/packages/core/source/interference/latency_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace egretstile {
 
@@ -10,10 +11,8 @@
 constexpr std::uint32_t full_speed = 100;
 /// Speeds are changed in steps of this, because each change is a call to the runner.
 constexpr std::uint32_t percent_step = 5;
-
-double share_of(const guarded_run& run) {
-    return static_cast<double>(run.latency_ms) / static_cast<double>(run.target_latency_ms);
-}
+/// A rise by less waits.
+constexpr std::uint32_t smallest_rise = 10;
 
 std::int64_t sum_of(const std::vector<guarded_run>& runs, bool fills, bool serves) {
     std::int64_t sum = 0;
@@ -30,26 +29,34 @@
     return static_cast<std::uint32_t>(std::floor(steps)) * percent_step;
 }
 
+bool worth_a_call(std::uint32_t present, std::uint32_t wanted) {
+    return wanted < present || wanted >= present + smallest_rise ||
+           (wanted == full_speed && present != full_speed);
+}
+
 } // namespace
 
-double fillable_millicores(const sharing_model& model, std::int64_t capacity, std::int64_t serving,
+double fillable_millicores(const sharing_model& model, std::int64_t capacity, double serving_use,
                            std::int64_t others) {
-    const double whole =
-        static_cast<double>(capacity) * (serving > 0 ? model.shared_utilisation : 1.0);
-    return std::max(0.0, whole - model.serving_use * static_cast<double>(serving) -
-                             static_cast<double>(others));
+    // Without serving tasks nothing is harmed by a full VM.
+    const double share = serving_use > 0 ? model.full_use : 1.0;
+    return std::max(0.0, static_cast<double>(capacity) * share - static_cast<double>(others) -
+                             serving_use);
 }
 
 latency_guard::latency_guard(const latency_guard_settings& settings)
     : settings_(settings)
-    , alone_(settings.usual_share) {}
+    , model_(settings.pressure) {}
+
+void latency_guard::observe(const std::vector<guarded_run>& runs, std::int64_t capacity,
+                            boot_time now) {
+    model_.observe("", runs, capacity, now);
+}
 
 std::vector<speed_change> latency_guard::update(const std::vector<guarded_run>& runs,
                                                 std::int64_t capacity, boot_time now) {
-    if (now >= observed_at_ + settings_.interval) {
-        observe(runs, capacity, now);
-    }
-    const std::map<std::string, std::uint32_t> percents = choose_percents(runs, capacity);
+    const std::map<std::string, std::uint32_t> percents =
+        choose_percents(runs, capacity, find_protected(runs, capacity, now));
     std::vector<speed_change> changes;
     std::map<task_attempt, std::uint32_t> applied;
     for (const guarded_run& run : runs) {
@@ -59,163 +66,126 @@
         const std::uint32_t percent = percents.at(run.image);
         const auto known = applied_.find(run.run);
         const std::uint32_t present = known == applied_.end() ? full_speed : known->second;
-        if (present != percent) {
+        const bool changes_now = worth_a_call(present, percent);
+        if (changes_now) {
             changes.push_back({run.run, percent});
         }
-        applied[run.run] = percent;
+        applied[run.run] = changes_now ? percent : present;
     }
     applied_ = std::move(applied);
     return changes;
 }
 
-void latency_guard::observe(const std::vector<guarded_run>& runs, std::int64_t capacity,
-                            boot_time now) {
-    observed_at_ = now;
-    if (sum_of(runs, false, true) == 0) {
-        gain_ = 1.0;
-        worst_ = 0;
-        stopped_ = false;
-        quiet_since_ = boot_time();
-        disregarded_until_.clear();
-        return;
-    }
-    const std::map<std::string, double> use = use_of(runs, capacity);
-    double total = 0;
-    for (const auto& [image, share] : use) {
-        total += share;
-    }
-    const bool quiet = total < 0.01;
-    if (!quiet) {
-        quiet_since_ = boot_time();
-    } else if (quiet_since_ == boot_time()) {
-        quiet_since_ = now;
-    }
-    find_overloaded(runs, now);
-    worst_ = worst_share_of(runs, now);
-    learn(use);
-    correct();
-}
-
-/// Compares the rise of the latency with what the images are thought to cause, and corrects each by
-/// its part in the use of the VM.
-void latency_guard::learn(const std::map<std::string, double>& use) {
-    double expected = 0;
-    double norm = 0;
-    // The latency reflects what was used during the last two observations.
-    std::map<std::string, double> mean = use;
-    for (auto& [image, share] : mean) {
-        const auto before = used_.find(image);
-        share = (share + (before == used_.end() ? 0.0 : before->second)) / 2;
-        expected += pressure_of(image) * share;
-        norm += share * share;
-    }
-    used_ = use;
-    if (norm < 1e-4) {
-        if (worst_ > 0 && worst_ < settings_.over) {
-            alone_ += (worst_ - alone_) * settings_.learning_rate / 2;
-        }
-        return;
-    }
-    const double seen = std::max(0.0, worst_ / std::max(alone_, 0.05) - 1.0);
-    for (const auto& [image, share] : mean) {
-        const double corrected =
-            pressure_of(image) + settings_.learning_rate * (seen - expected) * share / norm;
-        pressures_[image] = std::clamp(corrected, 0.2, 200.0);
-    }
-}
-
-void latency_guard::correct() {
-    if (worst_ > settings_.over) {
-        stopped_ = true;
-        gain_ *= settings_.step_down;
-    } else if (worst_ < settings_.near) {
-        stopped_ = false;
-    }
-    if (!stopped_ && worst_ < settings_.clear) {
-        gain_ *= settings_.step_up;
-    }
-    gain_ = std::clamp(gain_, settings_.smallest_gain, settings_.largest_gain);
-}
-
-std::map<std::string, std::uint32_t>
-latency_guard::choose_percents(const std::vector<guarded_run>& runs, std::int64_t capacity) const {
-    std::map<std::string, double> wanted;
+std::vector<latency_guard::protected_task>
+latency_guard::find_protected(const std::vector<guarded_run>& runs, std::int64_t capacity,
+                              boot_time now) {
+    std::vector<protected_task> tasks;
+    std::map<task_attempt, boot_time> over;
+    std::map<task_attempt, boot_time> undisturbed;
+    std::map<task_attempt, boot_time> disregarded;
+    least_headroom_ = 0;
     for (const guarded_run& run : runs) {
-        if (run.fills_idle_cpu) {
-            wanted[run.image] += static_cast<double>(run.cpu_millicores);
+        if (run.target_latency_ms == 0) {
+            continue;
         }
-    }
-    const std::int64_t serving = sum_of(runs, false, true);
-    std::map<std::string, std::uint32_t> percents;
-    if (serving == 0 || stopped_) {
-        for (const auto& [image, millicores] : wanted) {
-            percents[image] = serving == 0 ? full_speed : 0;
+        const double seen = model_.seen_headroom(run.run);
+        if (seen > 0 && (least_headroom_ == 0 || seen < least_headroom_)) {
+            least_headroom_ = seen;
         }
-        return percents;
-    }
-    std::vector<std::string> order;
-    order.reserve(wanted.size());
-    for (const auto& [image, millicores] : wanted) {
-        order.push_back(image);
-    }
-    std::sort(order.begin(), order.end(),
-              [this](const std::string& left, const std::string& right) {
-                  return pressure_of(left) < pressure_of(right);
-              });
-    const double whole = static_cast<double>(std::max<std::int64_t>(capacity, 1));
-    double room = gain_ * fillable_millicores(settings_.sharing, capacity, serving,
-                                              sum_of(runs, false, false));
-    double budget = gain_ * std::max(0.0, settings_.near / std::max(alone_, 0.05) - 1.0);
-    for (const std::string& image : order) {
-        const double pressure = pressure_of(image) * wanted[image] / whole;
-        const double share = std::min({1.0, room / wanted[image], budget / pressure});
-        percents[image] = to_percent(share);
-        room -= share * wanted[image];
-        budget -= share * pressure;
-    }
-    return percents;
+        const auto over_since = over_since_.find(run.run);
+        const bool was_over = over_since != over_since_.end();
+        const bool is_over =
+            seen > 0 && seen < (was_over ? settings_.pressure.drained_headroom : 1.0);
+        if (is_over) {
+            over.emplace(run.run, was_over ? over_since->second : now);
+            const bool quiet = present_loss(run.image, runs, capacity) < settings_.negligible_loss;
+            const auto since = undisturbed_since_.find(run.run);
+            if (quiet) {
+                undisturbed[run.run] = since == undisturbed_since_.end() ? now : since->second;
+            }
+            if (quiet && now >= undisturbed[run.run] + settings_.undisturbed) {
+                disregarded[run.run] = now + settings_.disregard;
+            }
+        }
+        const auto until = disregarded_until_.find(run.run);
+        if (until != disregarded_until_.end() && now < until->second) {
+            disregarded.emplace(run.run, until->second);
+        }
+        if (disregarded.count(run.run) != 0) {
+            continue;
+        }
+        const double alone = model_.own_headroom(run.run, settings_.usual_headroom);
+        tasks.push_back({run.image,
+                         is_over ? 0.0 : std::max(0.0, alone - settings_.sharing.kept_headroom),
+                         is_over && seen < settings_.recovered_headroom &&
+                             now >= over.at(run.run) + settings_.longest_over});
+    }
+    over_since_ = std::move(over);
+    undisturbed_since_ = std::move(undisturbed);
+    disregarded_until_ = std::move(disregarded);
+    return tasks;
 }
 
-std::map<std::string, double> latency_guard::use_of(const std::vector<guarded_run>& runs,
-                                                    std::int64_t capacity) const {
+std::map<std::string, std::uint32_t>
+latency_guard::choose_percents(const std::vector<guarded_run>& runs, std::int64_t capacity,
+                               std::vector<protected_task> tasks) const {
+    const double whole = static_cast<double>(std::max<std::int64_t>(capacity, 1));
+    const double room = fillable_millicores(settings_.sharing, capacity, model_.serving_use(runs),
+                                            sum_of(runs, false, false));
+    const double wanted = static_cast<double>(std::max<std::int64_t>(sum_of(runs, true, false), 1));
+    const double fair_share = tasks.empty() ? 1.0 : std::min(1.0, room / wanted);
     std::map<std::string, double> use;
     for (const guarded_run& run : runs) {
         if (run.fills_idle_cpu) {
-            const auto known = applied_.find(run.run);
-            const double percent = known == applied_.end() ? full_speed : known->second;
-            use[run.image] += static_cast<double>(run.cpu_millicores) * percent / full_speed /
-                              static_cast<double>(std::max<std::int64_t>(capacity, 1));
+            use[run.image] += static_cast<double>(run.cpu_millicores) * fair_share / whole;
         }
     }
-    return use;
-}
-
-double latency_guard::pressure_of(const std::string& image) const {
-    const auto known = pressures_.find(image);
-    return known == pressures_.end() ? settings_.unknown_pressure : known->second;
-}
-
-void latency_guard::find_overloaded(const std::vector<guarded_run>& runs, boot_time now) {
-    if (quiet_since_ == boot_time() || now < quiet_since_ + settings_.undisturbed) {
-        return;
+    const auto loss_of = [&](const protected_task& task, const std::string& image) {
+        return model_.slope(task.image, image) * use[image];
+    };
+    std::vector<std::pair<double, std::string>> order;
+    for (const auto& [image, share] : use) {
+        double worst = 0;
+        for (const protected_task& task : tasks) {
+            worst = std::max(worst, model_.slope(task.image, image) / (task.budget + 0.1));
+        }
+        order.emplace_back(worst, image);
     }
-    for (const guarded_run& run : runs) {
-        if (run.target_latency_ms > 0 && share_of(run) > settings_.over) {
-            disregarded_until_[run.run] = now + settings_.disregard;
+    std::sort(order.begin(), order.end());
+    std::map<std::string, std::uint32_t> percents;
+    for (const auto& [worst, image] : order) {
+        double share = 1.0;
+        for (const protected_task& task : tasks) {
+            const double loss = loss_of(task, image);
+            if (task.harmed) {
+                share = 0;
+            } else if (loss > std::max(task.budget, settings_.negligible_loss)) {
+                const double least = model_.slope(task.image, image) < settings_.light_slope
+                                         ? settings_.least_light_percent / 100.0
+                                         : 0.0;
+                share = std::min(share, std::max(least, task.budget / loss));
+            }
+        }
+        percents[image] = to_percent(share * fair_share);
+        for (protected_task& task : tasks) {
+            task.budget = std::max(0.0, task.budget - share * loss_of(task, image));
         }
     }
+    return percents;
 }
 
-double latency_guard::worst_share_of(const std::vector<guarded_run>& runs, boot_time now) const {
-    double worst = 0;
+double latency_guard::present_loss(const std::string& serving_image,
+                                   const std::vector<guarded_run>& runs,
+                                   std::int64_t capacity) const {
+    double loss = 0;
     for (const guarded_run& run : runs) {
-        const auto disregarded = disregarded_until_.find(run.run);
-        const bool counts = disregarded == disregarded_until_.end() || now >= disregarded->second;
-        if (run.target_latency_ms > 0 && counts) {
-            worst = std::max(worst, share_of(run));
+        if (run.fills_idle_cpu) {
+            loss += model_.slope(serving_image, run.image) *
+                    static_cast<double>(run.used_millicores) /
+                    static_cast<double>(std::max<std::int64_t>(capacity, 1));
         }
     }
-    return worst;
+    return loss;
 }
 
 } // namespace egretstile
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -193,12 +193,14 @@
     request.job = &job;
     request.step = &job.spec.steps[task.step];
     request.task = task;
-    request.pressure = pressure_of(request.step->image);
+    request.pressures = &pressures_;
     request.excluded = {present};
     return placer_->choose(request, vms_, closed_domains_, now);
 }
 
 void job_scheduler::start_waiting(boot_time now, std::int64_t wall_ms) {
+    hopeless_.clear();
+    half_idle_.clear();
     for (job_entry* const job : in_order(jobs_.unfinished(), wall_ms)) {
         if (is_recovering() && job->spec.accepted_epoch < epoch_) {
             continue;
@@ -236,6 +238,14 @@
     }
 }
 
+bool job_scheduler::is_hopeless(const job_entry& job, const step_spec& step) const {
+    if (!step.fills_idle_cpu) {
+        return false;
+    }
+    const auto failed = hopeless_.find({job.policy.service, step.image});
+    return failed != hopeless_.end() && fits(failed->second, step.need);
+}
+
 bool job_scheduler::start_task(job_entry& job, const task_ref& task, boot_time now) {
     const job_task& state = *jobs_.find_task(task);
     placement_request request;
@@ -243,16 +253,26 @@
     request.step = &job.spec.steps[task.step];
     request.task = task;
     request.disliked = state.failed_on;
-    request.pressure = pressure_of(request.step->image);
+    request.pressures = &pressures_;
     for (const tracked_run& run : state.runs) {
         request.excluded.insert(run.vm);
     }
-    vm_state* vm = placer_->choose(request, vms_, closed_domains_, now);
-    if (vm == nullptr && request.step->fills_idle_cpu && !has_runs(job)) {
-        request.job_is_idle = true;
-        vm = placer_->choose(request, vms_, closed_domains_, now);
+    if (request.step->fills_idle_cpu && !has_runs(job)) {
+        const auto known = half_idle_.find(job.policy.service);
+        request.accept_slow =
+            known == half_idle_.end()
+                ? half_idle_.emplace(job.policy.service, is_half_idle(job.policy.service))
+                      .first->second
+                : known->second;
     }
+    if (!request.accept_slow && is_hopeless(job, *request.step)) {
+        return false;
+    }
+    vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
     if (vm == nullptr) {
+        if (request.step->fills_idle_cpu) {
+            hopeless_[{job.policy.service, request.step->image}] = request.step->need;
+        }
         return false;
     }
     order_start(job, task, next_attempt(job, state.progress), *vm, now);
@@ -300,6 +320,7 @@
     job_task& state = *jobs_.find_task(task);
     const step_spec& step = job.spec.steps[task.step];
     vm.add_run({task, attempt}, needs_of(step));
+    update_taken_headroom(vm);
     tracked_run run;
     run.attempt = attempt;
     run.vm = vm.name;
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -293,6 +293,16 @@
     return report;
 }
 
+std::vector<task_attempt> run_tracker::unlisted() const {
+    std::vector<task_attempt> runs;
+    for (const auto& [run, clock] : confirmed_) {
+        if (!is_listed(run)) {
+            runs.push_back(run);
+        }
+    }
+    return runs;
+}
+
 const start_order* run_tracker::attributes(const task_attempt& run) const {
     const auto found = attributes_.find(run);
     return found == attributes_.end() ? nullptr : &found->second;
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -16,32 +16,24 @@
 /// A serving task prefers a VM that others fill to none, but any without them to it.
 constexpr double filled_penalty = 2.0;
 
-/// A VM with serving tasks is filled when the others are loaded this much more.
-constexpr double disturbance_penalty = 0.4;
-
-/// A task that fills waits rather than make the others on its VM slower than this: at half their
-/// speed, jobs just meet the usual objective of twice their longest chain.
-constexpr double longest_filling_load = 1.7;
-
-/// Relative rise of a latency that serving tasks can bear on average: from 0.4 to 0.85 of the
-/// target.
-constexpr double bearable_rise = 1.1;
-/// Pressure of an image that no agent has learned yet; as `latency_guard_settings`.
-constexpr double unknown_pressure = 4.0;
-
-/// How much more the tasks that fill would like than the VM can give them, with this one. Beside
-/// serving tasks, the image's pressure bounds what it may use.
-double filling_load(const vm_state& vm, const placement_request& request) {
-    const std::int64_t serving = vm.serving_millicores();
-    const std::int64_t capacity = vm.runner.capacity.cpu_millicores;
-    double room = fillable_millicores({}, capacity, serving, vm.reserved.cpu_millicores - serving);
-    if (serving > 0) {
-        const double pressure = request.pressure > 0 ? request.pressure : unknown_pressure;
-        room = std::min(room, bearable_rise / pressure * static_cast<double>(capacity));
-    }
-    const double wanted =
-        static_cast<double>(vm.filling_millicores() + request.step->need.cpu_millicores);
-    return wanted / std::max(room, 1.0);
+/// Serving tasks of one image are sensitive to the same images, so a VM of them can take others.
+constexpr double same_image_bonus = 0.5;
+
+/// Cost of each tenth of the speed that a task that fills loses; more than what keeps VMs apart.
+constexpr double slowness_penalty = 3.0;
+/// A VM without serving tasks is kept for images that press on others.
+constexpr double undisturbed_penalty = 0.25;
+/// Among equal VMs, the one with more processor time left.
+constexpr double fullness_penalty = 0.3;
+/// A task that fills waits rather than work slower than this: at half their speed, jobs just meet
+/// the usual objective of twice their longest chain.
+constexpr double slowest_start = 0.6;
+/// Loss of headroom that is too small to matter; as `latency_guard_settings`.
+constexpr double negligible_loss = 0.1;
+
+double fillable_room(const vm_state& vm) {
+    return fillable_millicores({}, vm.runner.capacity.cpu_millicores, vm.serving_use,
+                               vm.reserved.cpu_millicores - vm.serving_millicores);
 }
 
 double reserved_share(const vm_state& vm) {
@@ -53,7 +45,7 @@
 double filling_share(const vm_state& vm) {
     const double capacity =
         static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
-    return static_cast<double>(vm.filling_millicores()) / capacity;
+    return static_cast<double>(vm.filling_millicores) / capacity;
 }
 
 double common_cost(const vm_state& vm, const placement_request& request, boot_time now) {
@@ -74,14 +66,19 @@
 double separating_cost(const vm_state& vm, const placement_request& request, boot_time now) {
     const double cost = common_cost(vm, request, now);
     if (request.step->fills_idle_cpu) {
-        const bool disturbs = vm.serving_millicores() > 0;
-        return cost + filling_load(vm, request) + (disturbs ? disturbance_penalty : 0.0);
+        const double fullness =
+            static_cast<double>(vm.filling_millicores) / std::max(fillable_room(vm), 1.0);
+        return cost + slowness_penalty * (1.0 - expected_speed(vm, request)) +
+               fullness_penalty * std::min(fullness, 1.0) +
+               (vm.serving.empty() ? undisturbed_penalty : 0.0);
     }
     if (request.step->target_latency_ms > 0) {
         const double capacity =
             static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
+        const bool joins_its_image = vm.serving_by_image.count(request.step->image) != 0;
         return cost + filled_penalty * filling_share(vm) -
-               static_cast<double>(vm.serving_millicores()) / capacity;
+               static_cast<double>(vm.serving_millicores) / capacity -
+               (joins_its_image ? same_image_bonus : 0.0);
     }
     return cost + reserved_share(vm) + 0.3 * filling_share(vm);
 }
@@ -121,12 +118,34 @@
     });
 }
 
+double expected_speed(const vm_state& vm, const placement_request& request) {
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
+    const double need =
+        static_cast<double>(std::max<std::int64_t>(request.step->need.cpu_millicores, 1));
+    const double wanted = static_cast<double>(vm.filling_millicores) + need;
+    double speed = std::min(1.0, fillable_room(vm) / wanted);
+    for (const serving_group& group : vm.serving) {
+        const double slope = request.pressures == nullptr
+                                 ? pressure_model_settings{}.prior_slope
+                                 : request.pressures->slope(group.image, request.step->image);
+        const double loss = slope * need / capacity;
+        if (loss > negligible_loss) {
+            const double left =
+                group.own_headroom - sharing_model{}.placing_headroom - group.taken_headroom;
+            speed = std::min(speed, std::max(0.0, left) / loss);
+        }
+    }
+    return speed;
+}
+
 vm_run needs_of(const step_spec& step) {
     vm_run needs;
     needs.reserved = step.need;
     needs.wanted_millicores = step.need.cpu_millicores;
     needs.fills_idle_cpu = step.fills_idle_cpu;
     needs.serves = step.target_latency_ms > 0;
+    needs.image = step.image;
     if (step.fills_idle_cpu) {
         needs.reserved.cpu_millicores = 0;
     }
@@ -145,9 +164,9 @@
     if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
         return false;
     }
-    if (step.fills_idle_cpu && !request.job_is_idle &&
-        (vm.filling_millicores() > 0 || vm.serving_millicores() > 0) &&
-        filling_load(vm, request) > longest_filling_load) {
+    if (step.fills_idle_cpu && !request.accept_slow &&
+        (vm.filling_millicores > 0 || vm.serving_millicores > 0) &&
+        expected_speed(vm, request) < slowest_start) {
         return false;
     }
     const std::vector<std::string>& labels = vm.runner.labels;
--- a/packages/core/source/job/vm_table.cpp
+++ b/packages/core/source/job/vm_table.cpp
@@ -2,9 +2,30 @@
 
 namespace egretstile {
 
+namespace {
+
+void take_from(std::map<std::string, std::int64_t>& sums, const std::string& image,
+               std::int64_t millicores) {
+    const auto sum = sums.find(image);
+    if (sum != sums.end() && (sum->second -= millicores) <= 0) {
+        sums.erase(sum);
+    }
+}
+
+} // namespace
+
 void vm_state::add_run(const task_attempt& run, const vm_run& needs) {
-    if (runs.emplace(run, needs).second) {
-        reserved = reserved + needs.reserved;
+    if (!runs.emplace(run, needs).second) {
+        return;
+    }
+    reserved = reserved + needs.reserved;
+    if (needs.serves) {
+        serving_millicores += needs.reserved.cpu_millicores;
+        serving_by_image[needs.image] += needs.reserved.cpu_millicores;
+    }
+    if (needs.fills_idle_cpu) {
+        filling_millicores += needs.wanted_millicores;
+        filling_by_image[needs.image] += needs.wanted_millicores;
     }
 }
 
@@ -13,7 +34,16 @@
     if (found == runs.end()) {
         return false;
     }
-    reserved = reserved - found->second.reserved;
+    const vm_run& needs = found->second;
+    reserved = reserved - needs.reserved;
+    if (needs.serves) {
+        serving_millicores -= needs.reserved.cpu_millicores;
+        take_from(serving_by_image, needs.image, needs.reserved.cpu_millicores);
+    }
+    if (needs.fills_idle_cpu) {
+        filling_millicores -= needs.wanted_millicores;
+        take_from(filling_by_image, needs.image, needs.wanted_millicores);
+    }
     runs.erase(found);
     return true;
 }
@@ -22,24 +52,4 @@
     return runner.capacity.cpu_millicores - reserved.cpu_millicores;
 }
 
-std::int64_t vm_state::serving_millicores() const {
-    std::int64_t sum = 0;
-    for (const auto& [run, needs] : runs) {
-        if (needs.serves) {
-            sum += needs.reserved.cpu_millicores;
-        }
-    }
-    return sum;
-}
-
-std::int64_t vm_state::filling_millicores() const {
-    std::int64_t sum = 0;
-    for (const auto& [run, needs] : runs) {
-        if (needs.fills_idle_cpu) {
-            sum += needs.wanted_millicores;
-        }
-    }
-    return sum;
-}
-
 } // namespace egretstile
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -47,7 +47,10 @@
                      take_orders(*orders);
                  }
              },
-             [this] { report(); }})
+             [this] {
+                 pressures_wanted_ = true;
+                 report();
+             }})
     , control_(loop_, *store_, control_watch_wait,
                [this] { link_.follow(control_.leader(), control_.peer_key()); })
     , registrations_(loop_, settings_.registration, {},
@@ -129,6 +132,9 @@
     if (!tracker_.take_orders(orders, boot_now())) {
         return;
     }
+    for (const image_pressure& learned : orders.pressures) {
+        guard_.adopt(learned);
+    }
     work();
 }
 
@@ -174,6 +180,8 @@
                                           const std::variant<runner_done, runner_refusal>& answer) {
     if (const runner_done* const done = std::get_if<runner_done>(&answer)) {
         tracker_.start_done(run, done->clock_ms);
+        // A task starts at full speed; on a VM that serves it may have to be slower at once.
+        guard_latency();
         return;
     }
     const runner_refusal refusal = std::get<runner_refusal>(answer);
@@ -243,6 +251,7 @@
     }
     tracker_.lists_read(lists.clock_ms, std::move(lists.active), std::move(lists.ended),
                         boot_now());
+    guard_.observe(guarded_runs(), tracker_.registration().capacity.cpu_millicores, boot_now());
     guard_latency();
     if (tracker_.take_news()) {
         report_soon();
@@ -268,20 +277,28 @@
     }
 }
 
-void job_agent_process::guard_latency() {
+std::vector<guarded_run> job_agent_process::guarded_runs() const {
     std::vector<guarded_run> runs;
     for (const active_run& active : tracker_.active()) {
         if (const start_order* const known = tracker_.attributes(active.run)) {
-            const bool serves = known->target_latency_ms > 0;
-            runs.push_back({active.run, known->fills_idle_cpu, known->target_latency_ms,
-                            serves ? active.load : 0, known->cpu_millicores, known->image});
+            runs.push_back(guarded_run_of(active, *known));
+        }
+    }
+    for (const task_attempt& run : tracker_.unlisted()) {
+        if (const start_order* const known = tracker_.attributes(run)) {
+            runs.push_back(guarded_run_of({run, "", 0, 0}, *known));
         }
     }
+    return runs;
+}
+
+void job_agent_process::guard_latency() {
+    const std::vector<guarded_run> runs = guarded_runs();
     for (const speed_change& change :
          guard_.update(runs, tracker_.registration().capacity.cpu_millicores, boot_now())) {
         write_log(log_part::worker, log_level::info, "Changes the speed of a task.",
                   fields_of(change.run) + " percent=" + std::to_string(change.percent) +
-                      " worst_latency_share=" + std::to_string(guard_.worst_share()));
+                      " least_headroom=" + std::to_string(guard_.least_headroom()));
         runner_->throttle(
             change.run, change.percent, tracker_.epoch(),
             [this, run = change.run](std::variant<runner_done, runner_refusal>&& answer) {
@@ -303,8 +320,8 @@
     reported_at_ = boot_now();
     if (link_.is_open()) {
         vm_report current = tracker_.make_report(settings_.common.vm, reported_at_);
-        for (const auto& [image, pressure] : guard_.pressures()) {
-            current.pressures.push_back({image, pressure});
+        if (std::exchange(pressures_wanted_, false)) {
+            current.pressures = guard_.pressures();
         }
         link_.send(current);
     }
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -44,6 +44,7 @@
     void renew();
     void take_lists(infrastructure::runner_lists&& lists);
     void take_renewal_failure(infrastructure::runner_refusal refusal);
+    std::vector<guarded_run> guarded_runs() const;
     void guard_latency();
     void report();
     void report_soon();
@@ -55,6 +56,8 @@
     std::unique_ptr<infrastructure::task_runner> runner_;
     run_tracker tracker_;
     latency_guard guard_;
+    /// The leader of a new connection has not been told yet what the guard has learned.
+    bool pressures_wanted_{false};
     leader_link link_;
     control_view control_;
     http_server registrations_;
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -116,7 +116,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, image_pressure& value) {
-    archive(value.image, value.pressure);
+    archive(value.serving_image, value.filling_image, value.slope, value.variance);
 }
 
 template <typename Archive>
@@ -130,7 +130,7 @@
 void serialize(Archive& archive, vm_orders& value) {
     archive(value.epoch, value.answered_report, value.permission_ms, value.based_on_report,
             value.number, value.runner_life, value.acknowledged_ends, value.starts, value.stops,
-            value.attributes);
+            value.attributes, value.pressures);
 }
 
 template <typename Archive>
