election: read the stored state over slow links; entries with more processor time lead first

A page of the stored progress took longer than the 1.2 s that a list call may take, the call was given up without a log line and asked again, for ever. Change: a call fails after its time limit without progress instead of in all; a failed load is logged; the progress of a final job is stored without its tasks; an entry leaves a vacancy to others for 25 ms divided by its share of a core, at most 250 ms (setting processor_share). Excluded: a lost lease (the leader kept it all the while); the store (other entries read it at once). The tests of the slow response, the settings, the delay and the progress fail or do not build without the change; core, daemon and runtime tests pass.

--- a/packages/core/include/egretstile/core/job/job_progress.hpp
+++ b/packages/core/include/egretstile/core/job/job_progress.hpp
@@ -46,7 +46,8 @@
 /// What must survive of one job, as it is stored by the leader.
 struct job_progress {
     job_state state{job_state::queued};
-    /// All tasks: occurrences in order, in each the steps in order.
+    /// All tasks: occurrences in order, in each the steps in order. Empty in a final state, in
+    /// which no task starts any more: a new leader reads the final jobs of two minutes.
     std::vector<task_progress> tasks;
 };
 
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -195,6 +195,9 @@
 job_progress progress_of(const job_entry& job) {
     job_progress progress;
     progress.state = job.state;
+    if (is_final(job.state)) {
+        return progress;
+    }
     for (const occurrence_state& occurrence : job.occurrences) {
         for (const step_state& step : occurrence.steps) {
             for (const job_task& task : step.tasks) {
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -90,6 +90,29 @@
     CHECK(vm.scheduler.take_expired(loaded + milliseconds(130000), 10).size() == 1);
 }
 
+// Guards against a new leader on a slow link that takes seconds to read what no longer matters.
+TEST_CASE("the progress of a final job is stored without its tasks and stays final when restored") {
+    one_vm vm;
+    vm.scheduler.add_job(make_job("job", 1, 1000));
+    vm.exchange();
+    vm.end_run(vm.report.active.front().run, run_outcome::done);
+    vm.exchange();
+    const std::vector<job_entry*> changed = vm.scheduler.changed_jobs(10);
+    REQUIRE(changed.size() == 1);
+    const job_progress stored = progress_of(*changed.front());
+    CHECK(stored.state == job_state::completed);
+    CHECK(stored.tasks.empty());
+    // The next leader hears of the end again and starts nothing.
+    one_vm next(2);
+    next.scheduler.add_job(make_job("job", 1, 1000));
+    next.scheduler.restore_progress("job", stored, next.now());
+    next.report.ended = vm.report.ended;
+    CHECK(next.exchange().starts.empty());
+    next.store_all();
+    CHECK(next.exchange().acknowledged_ends == 1);
+    CHECK(next.scheduler.visible_state("job") == job_state::completed);
+}
+
 // Guards against a job that is shown as done and done again after a power loss.
 TEST_CASE("a job is shown as completed only once that is stored") {
     one_vm vm;
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -34,7 +34,8 @@
     , operators_(loop_, *store_, platform_.operators(), operator_watch_wait,
                  [this] { operators_changed(); })
     , control_(loop_, *store_, control_watch_wait, [this] { control_changed(); })
-    , election_(loop_, *store_, control_, {}, settings_.common.vm, peer_address(),
+    , election_(loop_, *store_, control_, election_settings_for(settings_.processor_share),
+                settings_.common.vm, peer_address(),
                 {[this](const leadership& won) { elected(won); }, [this] { deposed(); },
                  [this](boot_time time) {
                      if (leader_ != nullptr) {
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -48,6 +48,11 @@
     return text;
 }
 
+void log_load_failure(const std::string& prefix, store_error error) {
+    write_log(log_part::leader, log_level::warning, "Cannot load the stored keys.",
+              "prefix=" + prefix + " reason=" + std::string(name_of(store_error_names, error)));
+}
+
 bool ends_with(const std::string& text, const std::string& end) {
     return text.size() >= end.size() &&
            text.compare(text.size() - end.size(), end.size(), end) == 0;
@@ -127,7 +132,8 @@
                  if (alive.expired()) {
                      return;
                  }
-                 if (std::holds_alternative<store_error>(result)) {
+                 if (const store_error* const error = std::get_if<store_error>(&result)) {
+                     log_load_failure(store_keys::progress_prefix, *error);
                      retry([this] { load_progress(); });
                      return;
                  }
@@ -151,7 +157,8 @@
             if (alive.expired()) {
                 return;
             }
-            if (std::holds_alternative<store_error>(result)) {
+            if (const store_error* const error = std::get_if<store_error>(&result)) {
+                log_load_failure(store_keys::vm_prefix, *error);
                 retry([this] { load_vms(); });
                 return;
             }
--- a/packages/daemon/source/jobs/leader_election.cpp
+++ b/packages/daemon/source/jobs/leader_election.cpp
@@ -5,6 +5,7 @@
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace egretstile::daemon {
@@ -15,9 +16,21 @@
 
 constexpr milliseconds call_timeout{800};
 constexpr milliseconds claim_pause{200};
+/// Delay of an entry with a whole core, and the longest: well below the leader's lease. The
+/// smallest entries have a fifteenth of a core.
+constexpr milliseconds delay_of_a_core{25};
+constexpr milliseconds longest_delay{250};
 
 } // namespace
 
+election_settings election_settings_for(double processor_share) {
+    election_settings settings;
+    const double delay = static_cast<double>(delay_of_a_core.count()) / processor_share;
+    settings.claim_delay = milliseconds(
+        static_cast<std::int64_t>(std::min(delay, static_cast<double>(longest_delay.count()))));
+    return settings;
+}
+
 leader_election::leader_election(event_loop& loop, coordination_store& store, control_view& control,
                                  const election_settings& settings, std::string name,
                                  const endpoint& address, handlers callbacks)
@@ -43,11 +56,31 @@
         }
         return;
     }
-    if (!resigned_ && !claiming_ && control_.is_known() && may_claim()) {
+    if (control_.leader()) {
+        vacant_since_ = boot_time();
+    }
+    if (!resigned_ && !claiming_ && control_.is_known() && may_claim() && has_waited()) {
         claim();
     }
 }
 
+bool leader_election::has_waited() {
+    if (control_.leader()) {
+        return true; // It replaces itself.
+    }
+    const boot_time now = boot_now();
+    if (vacant_since_ == boot_time()) {
+        vacant_since_ = now;
+        const std::weak_ptr<int> alive = alive_;
+        loop_.call_at(now + settings_.claim_delay, [this, alive] {
+            if (!alive.expired()) {
+                control_changed();
+            }
+        });
+    }
+    return now >= vacant_since_ + settings_.claim_delay;
+}
+
 bool leader_election::may_claim() const {
     // This process is the only one of its name, so a leader of that name has ended.
     return !control_.leader() || control_.leader()->name == name_;
--- a/packages/daemon/source/jobs/leader_election.hpp
+++ b/packages/daemon/source/jobs/leader_election.hpp
@@ -14,6 +14,9 @@
     /// that a dead leader is replaced soon; above the pauses of a slow store.
     milliseconds lease{2000};
     milliseconds renewal_interval{500};
+    /// How long an entry leaves a vacancy to others. Longer for an entry with little processor
+    /// time.
+    milliseconds claim_delay{0};
     /// How long a leader that cannot reach the store goes on. Covers the store's outages.
     milliseconds longest_unconfirmed{10000};
 };
@@ -26,6 +29,9 @@
     boot_time earlier_until{};
 };
 
+/// Settings for an entry that may use `processor_share` cores. Thread-safe.
+election_settings election_settings_for(double processor_share);
+
 /// Makes this process the leader when there is none, and keeps it so. For the event loop's thread.
 class leader_election {
 public:
@@ -59,6 +65,8 @@
     void write_claim(infrastructure::store_lease lease);
     void claim_failed();
     bool may_claim() const;
+    /// Whether others have had the time to claim first; asks again later otherwise.
+    bool has_waited();
     boot_time earlier_leader_until(epoch_number epoch, bool replaced_itself) const;
     void elected(const leadership& won, infrastructure::store_lease lease, boot_time confirmed_at);
     void renew();
@@ -74,6 +82,8 @@
     std::optional<leadership> leadership_;
     infrastructure::store_lease lease_{infrastructure::no_lease};
     boot_time confirmed_at_{};
+    /// Since when there has been no leader; zero: there is one.
+    boot_time vacant_since_{};
     bool claiming_{false};
     bool renewing_{false};
     bool resigned_{false};
--- a/packages/daemon/source/settings/job_settings.hpp
+++ b/packages/daemon/source/settings/job_settings.hpp
@@ -27,6 +27,8 @@
     endpoint callers;
     /// Address at which the load balancer asks whether the process takes new connections.
     endpoint readiness;
+    /// Processor time that the process may use, in cores.
+    double processor_share{1.0};
     /// Time between the stop signal and the kill.
     milliseconds stop_timeout{5000};
 };
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -28,6 +28,11 @@
         add(name, unit, help, false, std::make_unique<number_value<Number>>(field, low, high));
     }
 
+    void decimal(const char* name, const char* unit, double& field, double low, double high,
+                 const char* help) {
+        add(name, unit, help, false, std::make_unique<decimal_value>(field, low, high));
+    }
+
     void duration(const char* name, milliseconds& field, std::int64_t low, std::int64_t high,
                   const char* help) {
         add(name, "ms", help, false, std::make_unique<duration_value>(field, low, high));
@@ -245,6 +250,8 @@
     table.listen_address("callers", target.callers, "Address for callers' HTTP.");
     table.listen_address("readiness", target.readiness,
                          "Address at which the load balancer asks for readiness.");
+    table.decimal("processor_share", "cores", target.processor_share, 0.001, 1024,
+                  "Processor time that the process may use; the entries with most lead first.");
     table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
                    "A planned shutdown waits this long for requests in progress.");
     return table.take();
--- a/packages/daemon/source/settings/setting_value.cpp
+++ b/packages/daemon/source/settings/setting_value.cpp
@@ -39,6 +39,33 @@
     return output.str();
 }
 
+decimal_value::decimal_value(double& field, double low, double high)
+    : field_(field)
+    , low_(low)
+    , high_(high) {}
+
+std::optional<std::string> decimal_value::assign(const toml::node& node,
+                                                 const std::string& /*folder*/) {
+    const std::optional<double> number = node.value<double>();
+    if (!node.is_number() || !number || !(*number >= low_ && *number <= high_)) {
+        return must_be(*this);
+    }
+    field_ = *number;
+    return std::nullopt;
+}
+
+std::string decimal_value::to_toml() const {
+    std::ostringstream output;
+    output << toml::value<double>(field_);
+    return output.str();
+}
+
+std::string decimal_value::allowed() const {
+    std::ostringstream output;
+    output << "a number from " << low_ << " to " << high_;
+    return output.str();
+}
+
 duration_value::duration_value(milliseconds& field, std::int64_t low, std::int64_t high)
     : field_(field)
     , low_(low)
--- a/packages/daemon/source/settings/setting_value.hpp
+++ b/packages/daemon/source/settings/setting_value.hpp
@@ -75,6 +75,20 @@
     std::int64_t high_;
 };
 
+/// Number from `low` to `high`, with or without a decimal point.
+class decimal_value : public setting_value {
+public:
+    decimal_value(double& field, double low, double high);
+    std::optional<std::string> assign(const toml::node& node, const std::string& folder) override;
+    std::string to_toml() const override;
+    std::string allowed() const override;
+
+private:
+    double& field_;
+    double low_;
+    double high_;
+};
+
 /// Whole milliseconds from `low` to `high`.
 class duration_value : public setting_value {
 public:
--- a/packages/daemon/tests/settings/settings_loader_test.cpp
+++ b/packages/daemon/tests/settings/settings_loader_test.cpp
@@ -67,6 +67,24 @@
     CHECK(settings.ledger.max_tasks == 7);
 }
 
+const std::string job_entry_minimum = "vm = 'edge-1'\nfailure_domain = 'ub-north'\n"
+                                      "host = '127.0.0.1'\nstore = '127.0.0.1:7000'\n";
+
+TEST_CASE("a decimal setting takes whole numbers and fractions, and nothing outside its range") {
+    for (const std::string value : {"1", "0.069"}) {
+        const settings_folder folder(job_entry_minimum + "processor_share = " + value + "\n");
+        const job_entry_settings settings =
+            std::get<job_entry_settings>(load_job_entry_settings(folder.path()));
+        CHECK(settings.processor_share == Approx(std::stod(value)));
+    }
+    for (const std::string value : {"0", "-0.5", "nan", "'0.5'", "true"}) {
+        CAPTURE(value);
+        const settings_folder folder(job_entry_minimum + "processor_share = " + value + "\n");
+        CHECK(std::holds_alternative<std::vector<settings_error>>(
+            load_job_entry_settings(folder.path())));
+    }
+}
+
 TEST_CASE("an agent's list of entries keeps its order and IPv6 addresses") {
     const settings_folder folder(agent_minimum);
     const agent_settings settings = std::get<agent_settings>(load_agent_settings(folder.path()));
--- a/packages/runtime/include/egretstile/runtime/http/http_client.hpp
+++ b/packages/runtime/include/egretstile/runtime/http/http_client.hpp
@@ -50,8 +50,9 @@
 
     const endpoint& server() const { return server_; }
 
-    /// Calls `done` once, never from inside `call`. After `timeout` the call fails and its
-    /// connection is closed, so that a late answer is not taken for another call's.
+    /// Calls `done` once, never from inside `call`. After `timeout` without any progress of the
+    /// request or the response the call fails and its connection is closed, so that a late answer
+    /// is not taken for another call's. A large response over a slow link may take longer.
     void call(http_request&& request, milliseconds timeout, callback done);
 
 private:
--- a/packages/runtime/source/http/http_client.cpp
+++ b/packages/runtime/source/http/http_client.cpp
@@ -54,14 +54,9 @@
         input_.clear();
         done_ = std::move(done);
         ++call_;
-        const std::weak_ptr<http_client_connection> self = weak_from_this();
-        const std::uint64_t call = call_;
-        loop_.call_at(boot_now() + timeout, [self, call] {
-            const std::shared_ptr<http_client_connection> held = self.lock();
-            if (held && held->done_ && held->call_ == call) {
-                held->fail();
-            }
-        });
+        timeout_ = timeout;
+        progressed_at_ = boot_now();
+        fail_without_progress(call_);
         if (connected_) {
             write_pending();
         }
@@ -73,6 +68,22 @@
     }
 
 private:
+    /// Fails the call once nothing has been sent or received for its timeout.
+    void fail_without_progress(std::uint64_t call) {
+        const std::weak_ptr<http_client_connection> self = weak_from_this();
+        loop_.call_at(progressed_at_ + timeout_, [self, call] {
+            const std::shared_ptr<http_client_connection> held = self.lock();
+            if (!held || !held->done_ || held->call_ != call) {
+                return;
+            }
+            if (boot_now() >= held->progressed_at_ + held->timeout_) {
+                held->fail();
+            } else {
+                held->fail_without_progress(call);
+            }
+        });
+    }
+
     void handle_ready(int mode) {
         const std::shared_ptr<http_client_connection> self = shared_from_this();
         if (!closed_ && (mode & Poco::Net::PollSet::POLL_ERROR) != 0) {
@@ -115,6 +126,7 @@
                 break;
             }
             sent_ += static_cast<std::size_t>(written);
+            progressed_at_ = boot_now();
         }
         const bool wants_write = sent_ < output_.size();
         if (wants_write != wants_write_) {
@@ -140,6 +152,7 @@
             return;
         }
         if (received > 0) {
+            progressed_at_ = boot_now();
             input_.append(chunk, 0, static_cast<std::size_t>(received));
             take_response();
         }
@@ -223,6 +236,8 @@
     http_response response_;
     http_client::callback done_;
     std::uint64_t call_{0};
+    milliseconds timeout_{0};
+    boot_time progressed_at_{};
     bool connected_{false};
     bool wants_write_{false};
     bool closed_{false};
--- a/packages/runtime/tests/http/http_call_test.cpp
+++ b/packages/runtime/tests/http/http_call_test.cpp
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace egretstile {
@@ -92,6 +93,74 @@
     CHECK(std::get<http_response>(*second).body == "second");
 }
 
+/// Answers every connection with a body of `chunks` parts, one each `gap`.
+class slow_sender {
+public:
+    slow_sender(std::size_t chunks, milliseconds gap)
+        : socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , thread_([this, chunks, gap] { serve(chunks, gap); }) {}
+
+    slow_sender(const slow_sender&) = delete;
+    slow_sender& operator=(const slow_sender&) = delete;
+    slow_sender(slow_sender&&) = delete;
+    slow_sender& operator=(slow_sender&&) = delete;
+
+    ~slow_sender() { thread_.join(); }
+
+    std::uint16_t port() const { return socket_.address().port(); }
+
+private:
+    void serve(std::size_t chunks, milliseconds gap) {
+        try {
+            Poco::Net::StreamSocket connection = socket_.acceptConnection();
+            std::string request(1000, '\0');
+            connection.receiveBytes(request.data(), static_cast<int>(request.size()));
+            const std::string head =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(chunks) + "\r\n\r\n";
+            connection.sendBytes(head.data(), static_cast<int>(head.size()));
+            for (std::size_t chunk = 0; chunk < chunks; ++chunk) {
+                std::this_thread::sleep_for(gap);
+                connection.sendBytes("x", 1);
+            }
+        } catch (const Poco::Exception&) {
+            // The client has closed the connection.
+        }
+    }
+
+    Poco::Net::ServerSocket socket_;
+    std::thread thread_;
+};
+
+// Guards against a leader on a slow link that asks for the same large page for ever: its transfer
+// takes longer than the time limit of the call.
+TEST_CASE("a response that keeps arriving may take longer than the time limit") {
+    event_loop loop;
+    slow_sender server(20, milliseconds(50));
+    http_client client(loop, {"127.0.0.1", server.port()});
+    std::optional<http_result> result;
+    client.call(get("/"), milliseconds(400),
+                [&result](http_result&& answer) { result = std::move(answer); });
+    run_until(loop, [&result] { return result.has_value(); });
+    REQUIRE(result.has_value());
+    REQUIRE(std::holds_alternative<http_response>(*result));
+    CHECK(std::get<http_response>(*result).body.size() == 20);
+}
+
+// Guards against a call that waits for ever for the rest of a response.
+TEST_CASE("a response that stops arriving fails after the time limit") {
+    event_loop loop;
+    slow_sender server(2, milliseconds(1500));
+    http_client client(loop, {"127.0.0.1", server.port()});
+    std::optional<http_result> result;
+    client.call(get("/"), milliseconds(200),
+                [&result](http_result&& answer) { result = std::move(answer); });
+    const boot_time asked_at = boot_now();
+    run_until(loop, [&result] { return result.has_value(); });
+    REQUIRE(result.has_value());
+    CHECK(std::get<http_failure>(*result) == http_failure::no_answer);
+    CHECK(boot_now() - asked_at < milliseconds(1400));
+}
+
 // Guards against a runner that has ended being taken for one that is only silent.
 TEST_CASE("a refused connection is told apart from silence") {
     event_loop loop;
