jobs: start again at once what was seen under way; forget VMs whose runner is gone

Change: a task that this leader has seen under way may start again while a VM is silent, because an earlier leader starts a task again only when its run has ended or lapsed; an end alone proves nothing, and such a task still waits. A VM whose agent has said for a second that its runner is gone is unregistered; its agent's reports do not register it again until a runner is there. Excluded: a shorter wait for silent VMs (their tasks may run under a cut-off leader's permission). Both tests fail without the change.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -31,6 +31,9 @@
     milliseconds lapse_margin{500};
     /// A VM that has not reported for this long and holds nothing is forgotten.
     milliseconds forget_after{2000};
+    /// The same for one whose agent has said that its runner is gone: it does not start what is
+    /// still on its way. Covers a runner that is only silent for a moment.
+    milliseconds forget_gone_after{1000};
     /// Pause before a task is started again after a failure or a refusal.
     milliseconds retry_pause{100};
     /// An unanswered stop is ordered again after this.
@@ -84,8 +87,8 @@
     /// A VM that may be used from now on.
     void register_vm(const vm_name& name) { vms_[name].name = name; }
 
-    /// VMs on which certainly nothing runs and that have not reported for a while. A later leader
-    /// need not wait for them, so their registration can be removed.
+    /// VMs on which certainly nothing runs and that have not reported for a while, or whose runner
+    /// is gone. A later leader need not wait for them, so their registration can be removed.
     std::vector<vm_name> idle_vms(boot_time now) const;
 
     /// The VM's registration was removed. Precondition: no report was taken in since `idle_vms`.
@@ -127,7 +130,8 @@
 
     const job_table& jobs() const { return jobs_; }
 
-    /// Whether an expected VM is still silent.
+    /// Whether an expected VM is still silent. Tasks of earlier epochs that this leader has not
+    /// seen under way wait until then.
     bool is_recovering() const { return !expected_.empty(); }
 
 private:
@@ -162,6 +166,8 @@
                         boot_time now);
     void start_waiting(boot_time now, std::int64_t wall_ms);
     void start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    /// Whether a silent VM may still have a run of the task that an earlier leader started.
+    bool may_run_unseen(const job_entry& job, const job_task& task) const;
     /// Whether no VM had room for an equal task in this pass.
     bool is_hopeless(const job_entry& job, const step_spec& step) const;
     void start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -40,6 +40,8 @@
 struct job_task {
     task_progress progress;
     std::vector<tracked_run> runs;
+    /// This leader has seen the task's run under way, so no VM that is still silent has another.
+    bool located{false};
     /// Not before this time, after a failure or a rejection.
     boot_time retry_at{};
     /// VM on which the task failed last; avoided when there is another.
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -50,6 +50,8 @@
     /// Until then the runs that were reported or ordered may go on without a word of the agent.
     boot_time may_run_until{};
     boot_time reported_at{};
+    /// Since when its agent says that nothing runs there; zero: it does not.
+    boot_time gone_since{};
     std::map<task_attempt, vm_run> runs;
     resources reserved;
     /// Processor time that runs which serve have reserved.
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -121,6 +121,9 @@
     }
     if (report.lapsed) {
         vm.may_run_until = now;
+        vm.gone_since = vm.gone_since == boot_time() ? now : vm.gone_since;
+    } else {
+        vm.gone_since = boot_time();
     }
     vm.runner = report.runner;
     vm.usable = report.lists_known && !report.lapsed;
@@ -229,6 +232,11 @@
 void job_scheduler::take_active(vm_state& vm, const vm_report& report, boot_time now) {
     for (const active_run& active : report.active) {
         take_active_run(vm, active, now);
+        const tracked_run* const tracked = find_run(active.run);
+        if (tracked != nullptr && tracked->vm == vm.name) {
+            // An earlier leader starts a task again only when its run has ended or lapsed.
+            jobs_.find_task(active.run.task)->located = true;
+        }
     }
     for (const task_attempt& starting : report.starting) {
         if (vm.runs.count(starting) == 0) {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -130,7 +130,9 @@
     for (const auto& [name, vm] : vms_) {
         const bool over = now >= vm.may_run_until && confirmed_at_ >= vm.may_run_until;
         const bool silent = now >= vm.reported_at + settings_.forget_after;
-        if (vm.runs.empty() && over && silent && expected_.count(name) == 0) {
+        const bool gone =
+            vm.gone_since != boot_time() && now >= vm.gone_since + settings_.forget_gone_after;
+        if (vm.runs.empty() && ((over && silent) || gone) && expected_.count(name) == 0) {
             names.push_back(name);
         }
     }
@@ -202,9 +204,6 @@
     hopeless_.clear();
     half_idle_.clear();
     for (job_entry* const job : in_order(jobs_.unfinished(), wall_ms)) {
-        if (is_recovering() && job->spec.accepted_epoch < epoch_) {
-            continue;
-        }
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
             const occurrence_state& occurrence = job->occurrences[k];
             if (occurrence.due_ms > wall_ms) {
@@ -229,7 +228,8 @@
     const std::set<std::uint32_t> waiting = job.occurrences[occurrence].steps[step].waiting;
     for (const std::uint32_t index : waiting) {
         const task_ref task{job.spec.id, occurrence, step, index};
-        if (jobs_.find_task(task)->retry_at > now) {
+        const job_task& state = *jobs_.find_task(task);
+        if (state.retry_at > now || may_run_unseen(job, state)) {
             continue;
         }
         if (!start_task(job, task, now)) {
@@ -238,6 +238,10 @@
     }
 }
 
+bool job_scheduler::may_run_unseen(const job_entry& job, const job_task& task) const {
+    return is_recovering() && job.spec.accepted_epoch < epoch_ && !task.located;
+}
+
 bool job_scheduler::is_hopeless(const job_entry& job, const step_spec& step) const {
     if (!step.fills_idle_cpu) {
         return false;
@@ -287,7 +291,7 @@
     }
     attempt_number attempt = 0;
     for (const job_task& task : state.tasks) {
-        if (task.retry_at > now) {
+        if (task.retry_at > now || may_run_unseen(job, task)) {
             return;
         }
         attempt = std::max(attempt, next_attempt(job, task.progress));
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -322,6 +322,48 @@
     CHECK(vm.scheduler.idle_vms(later) == std::vector<vm_name>{"vm"});
 }
 
+// Guards against the pattern in which a leader is replaced after a VM has left: a lasting task that
+// fails stays away for as long as the VM that has left might run tasks.
+TEST_CASE("a task that was seen under way starts again while another VM is silent") {
+    one_vm vm(2);
+    vm.scheduler.expect_vm("left", boot_time(std::chrono::hours(1)));
+    for (const std::string id : {"seen", "unseen"}) {
+        job_spec job = make_job(id, 1, 1000);
+        job.steps[0].long_running = true;
+        vm.scheduler.add_job(job);
+    }
+    const task_attempt run{{"seen", 0, 0, 0}, 1};
+    vm.report.active = {{run, "", 100, 0}};
+    vm.exchange();
+    vm.end_run(run, run_outcome::failed);
+    vm.exchange();
+    vm.time += milliseconds(500);
+    std::vector<start_order> starts = vm.exchange().starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().run.task.job == "seen");
+    CHECK(starts.front().run.attempt > run.attempt);
+    // An end alone proves nothing: the earlier leader may have started the task again elsewhere.
+    vm.end_run({{"unseen", 0, 0, 0}, 1}, run_outcome::failed);
+    vm.exchange();
+    vm.time += milliseconds(500);
+    CHECK(vm.exchange().starts.empty());
+}
+
+// Guards against the pattern in which a VM is taken away just before a leader is replaced: the next
+// leader waits for it before it starts what an earlier one accepted.
+TEST_CASE("a VM whose runner is gone is forgotten a second later, one that comes back is not") {
+    one_vm vm;
+    vm.exchange();
+    vm.report.lapsed = true;
+    vm.exchange();
+    CHECK(vm.scheduler.idle_vms(vm.now()).empty());
+    const boot_time later = vm.now() + milliseconds(1000);
+    CHECK(vm.scheduler.idle_vms(later) == std::vector<vm_name>{"vm"});
+    vm.report.lapsed = false;
+    vm.exchange();
+    CHECK(vm.scheduler.idle_vms(later).empty());
+}
+
 // Guards against a second run beside the first: a restarted agent reports before its runner has
 // registered again.
 TEST_CASE("a report without a runner does not end what runs on the VM") {
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -209,7 +209,12 @@
         return;
     }
     if (!scheduler_.is_registered(report.vm)) {
-        register_vm(report.vm);
+        if (report.lapsed) {
+            // Nothing can start there; the agent only has to follow this leader.
+            handlers_.send(report.vm, scheduler_.take_orders(report.vm, 0));
+        } else {
+            register_vm(report.vm);
+        }
         return;
     }
     if (report.epoch < epoch()) {
