front: let the leader store for an entry that does not reach the store

Change: after a failed call the entry lets the leader create the key for a second, with the same condition that it must not exist, so a late write of its own changes nothing. "Has not run" is said only when every try did nothing. A cancellation asks the leader whether it knows the job before it reads the store. Excluded: answering "not ready" to the balancer (open connections stay with their entry, and an outage of the whole store would take all entries out).

--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -162,6 +162,15 @@
         }
         return;
     }
+    if (const wire::create_key* const order = std::get_if<wire::create_key>(&message)) {
+        create_for_entry(*store_, *order,
+                         [sender = connection.weak_from_this()](const wire::message& answer) {
+                             if (const std::shared_ptr<frame_connection> open = sender.lock()) {
+                                 open->send(answer);
+                             }
+                         });
+        return;
+    }
     if (std::optional<wire::message> answer = answer_entry(*leader_, message)) {
         connection.send(*answer);
     }
--- a/packages/daemon/source/jobs/job_front.cpp
+++ b/packages/daemon/source/jobs/job_front.cpp
@@ -20,6 +20,9 @@
 
 /// Pause before a call that the store refused is tried again.
 constexpr milliseconds store_pause{120};
+/// After a failed call to the store the leader is asked to store first, for this long: an outage
+/// that only some VMs see lasts some seconds.
+constexpr milliseconds leader_first{1000};
 
 http_response response_of(int status, std::string body = "{}") {
     http_response response;
@@ -115,9 +118,41 @@
 
 void job_front::try_store(const std::shared_ptr<stored_call>& call) {
     const milliseconds left = std::chrono::duration_cast<milliseconds>(call->deadline - boot_now());
-    store_.commit(call->transaction, std::clamp(left, milliseconds(50), settings_.store_timeout),
+    const milliseconds timeout = std::clamp(left, milliseconds(50), settings_.store_timeout);
+    if (boot_now() < leader_first_until_ && leader_.can_create_key()) {
+        try_store_by_leader(call, timeout);
+    } else {
+        try_store_directly(call, timeout);
+    }
+}
+
+void job_front::try_store_by_leader(const std::shared_ptr<stored_call>& call,
+                                    milliseconds timeout) {
+    const store_write& write = call->transaction.writes.front();
+    leader_.create_job_key(write.key, write.value, timeout,
+                           [this, call](wire::create_outcome outcome) {
+                               switch (outcome) {
+                               case wire::create_outcome::created:
+                               case wire::create_outcome::existed:
+                                   call->on_stored(outcome == wire::create_outcome::existed);
+                                   return;
+                               case wire::create_outcome::not_created:
+                                   leader_first_until_ = boot_time();
+                                   store_failed(call, store_error::unavailable);
+                                   return;
+                               case wire::create_outcome::unknown:
+                                   leader_first_until_ = boot_time();
+                                   store_failed(call, store_error::no_answer);
+                                   return;
+                               }
+                           });
+}
+
+void job_front::try_store_directly(const std::shared_ptr<stored_call>& call, milliseconds timeout) {
+    store_.commit(call->transaction, timeout,
                   [this, call](std::variant<store_commit, store_conflict, store_error>&& result) {
                       if (const store_error* const error = std::get_if<store_error>(&result)) {
+                          leader_first_until_ = boot_now() + leader_first;
                           store_failed(call, *error);
                       } else {
                           call->on_stored(std::holds_alternative<store_conflict>(result));
@@ -195,6 +230,19 @@
 void job_front::cancel(const job_id& id, const http_request& request,
                        http_server::responder respond) {
     const boot_time deadline = deadline_of(request);
+    leader_.ask_state(id, settings_.leader_timeout,
+                      [this, id, deadline,
+                       respond = std::move(respond)](std::optional<wire::job_answer>&& answer) {
+                          if (answer && answer->known) {
+                              store_cancellation(id, deadline, respond);
+                          } else {
+                              cancel_stored(id, deadline, respond);
+                          }
+                      });
+}
+
+void job_front::cancel_stored(const job_id& id, boot_time deadline,
+                              http_server::responder respond) {
     store_.get(store_keys::job(id), settings_.store_timeout,
                [this, id, deadline,
                 respond = std::move(respond)](std::variant<store_item, store_error>&& result) {
--- a/packages/daemon/source/jobs/job_front.hpp
+++ b/packages/daemon/source/jobs/job_front.hpp
@@ -50,12 +50,17 @@
         http_server::responder respond;
     };
 
+    void try_store_directly(const std::shared_ptr<stored_call>& call, milliseconds timeout);
+    /// Lets the leader store the call, when this process does not reach the store.
+    void try_store_by_leader(const std::shared_ptr<stored_call>& call, milliseconds timeout);
     void submit(const queue_policy& queue, const job_id& id, const http_request& request,
                 http_server::responder respond);
     void show(const job_id& id, http_server::responder respond);
     void show_stored(const job_id& id, http_server::responder respond);
     void show_stored_progress(const job_id& id, bool cancelled, http_server::responder respond);
     void cancel(const job_id& id, const http_request& request, http_server::responder respond);
+    /// For a job that the leader does not know.
+    void cancel_stored(const job_id& id, boot_time deadline, http_server::responder respond);
     void store_cancellation(const job_id& id, boot_time deadline, http_server::responder respond);
     void show_pending(const queue_policy& queue, http_server::responder respond);
     void try_store(const std::shared_ptr<stored_call>& call);
@@ -70,6 +75,8 @@
     leader_access& leader_;
     front_settings settings_;
     /// Spreads the times at which refused callers come back.
+    /// Until then the leader is asked to store first.
+    boot_time leader_first_until_{};
     std::uint32_t refusals_{0};
 };
 
--- a/packages/daemon/source/jobs/leader_access.cpp
+++ b/packages/daemon/source/jobs/leader_access.cpp
@@ -1,6 +1,9 @@
 #include "jobs/leader_access.hpp"
 
+#include "jobs/store_keys.hpp"
+
 #include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <utility>
 
@@ -8,6 +11,9 @@
 
 namespace {
 
+/// The store's longest usual answer; the entry that asks waits a little longer.
+constexpr milliseconds relayed_commit_timeout{800};
+
 wire::job_answer answer_query(const job_leader& leader, const wire::job_query& query) {
     wire::job_answer answer;
     answer.call_id = query.call_id;
@@ -70,6 +76,20 @@
     expire_later(count_calls_, query.call_id, timeout);
 }
 
+void leader_access::create_job_key(const std::string& key, const std::string& value,
+                                   milliseconds timeout, create_callback done) {
+    const wire::create_key order{++last_call_, key, value};
+    if (!can_create_key() || !link_.send(order)) {
+        done(wire::create_outcome::not_created);
+        return;
+    }
+    create_calls_[order.call_id] =
+        [done = std::move(done)](std::optional<wire::create_outcome>&& outcome) {
+            done(outcome.value_or(wire::create_outcome::unknown));
+        };
+    expire_later(create_calls_, order.call_id, timeout);
+}
+
 void leader_access::tell_accepted(const job_spec& job) {
     if (local_ != nullptr) {
         local_->add_job(job);
@@ -102,7 +122,45 @@
             count_calls_.erase(found);
             done(pending->known ? std::optional<std::uint64_t>(pending->count) : std::nullopt);
         }
+    } else if (const wire::create_key_answer* const created =
+                   std::get_if<wire::create_key_answer>(&message)) {
+        const auto found = create_calls_.find(created->call_id);
+        if (found != create_calls_.end()) {
+            const auto done = std::move(found->second);
+            create_calls_.erase(found);
+            done(created->outcome);
+        }
+    }
+}
+
+void create_for_entry(infrastructure::coordination_store& store, const wire::create_key& order,
+                      std::function<void(const wire::message&)> reply) {
+    using namespace infrastructure;
+    if (order.key.compare(0, store_keys::job_prefix.size(), store_keys::job_prefix) != 0) {
+        write_log(log_part::store, log_level::warning, "Refused to create a key for an entry.",
+                  "key=" + order.key);
+        reply(wire::create_key_answer{order.call_id, wire::create_outcome::not_created});
+        return;
     }
+    store_transaction transaction;
+    transaction.expected = {{order.key, 0}};
+    transaction.writes = {{order.key, order.value, no_lease}};
+    store.commit(
+        transaction, relayed_commit_timeout,
+        [order, reply = std::move(reply)](
+            std::variant<store_commit, store_conflict, store_error>&& result) {
+            wire::create_outcome outcome = wire::create_outcome::created;
+            if (std::holds_alternative<store_conflict>(result)) {
+                outcome = wire::create_outcome::existed;
+            } else if (const store_error* const error = std::get_if<store_error>(&result)) {
+                outcome = *error == store_error::no_answer ? wire::create_outcome::unknown
+                                                           : wire::create_outcome::not_created;
+            }
+            write_log(log_part::store, log_level::info, "Created a key for an entry.",
+                      "key=" + order.key +
+                          " outcome=" + std::string(name_of(wire::create_outcome_names, outcome)));
+            reply(wire::create_key_answer{order.call_id, outcome});
+        });
 }
 
 std::optional<wire::message> answer_entry(job_leader& leader, const wire::message& message) {
--- a/packages/daemon/source/jobs/leader_access.hpp
+++ b/packages/daemon/source/jobs/leader_access.hpp
@@ -16,6 +16,7 @@
 public:
     using state_callback = std::function<void(std::optional<wire::job_answer>&&)>;
     using count_callback = std::function<void(std::optional<std::uint64_t>&&)>;
+    using create_callback = std::function<void(wire::create_outcome)>;
 
     /// `link` must outlive this object.
     leader_access(event_loop& loop, leader_link& link);
@@ -28,6 +29,14 @@
     /// Nothing when the leader does not answer within `timeout`.
     void ask_state(const job_id& id, milliseconds timeout, state_callback done);
     void ask_pending(const std::string& queue, milliseconds timeout, count_callback done);
+
+    /// Whether the leader is another process to which this one is connected.
+    bool can_create_key() const { return local_ == nullptr && link_.is_open(); }
+
+    /// Lets the leader create a key of a job in the store. Without an answer within `timeout` the
+    /// outcome is unknown.
+    void create_job_key(const std::string& key, const std::string& value, milliseconds timeout,
+                        create_callback done);
     /// Tells the leader; a lost message is made up for by its watch.
     void tell_accepted(const job_spec& job);
     void tell_cancelled(const job_id& id);
@@ -46,8 +55,15 @@
     std::uint64_t last_call_{0};
     std::map<std::uint64_t, state_callback> state_calls_;
     std::map<std::uint64_t, count_callback> count_calls_;
+    std::map<std::uint64_t, std::function<void(std::optional<wire::create_outcome>&&)>>
+        create_calls_;
 };
 
+/// Creates the key at the store for another entry. `reply` is called once. Only keys of jobs are
+/// created.
+void create_for_entry(infrastructure::coordination_store& store, const wire::create_key& order,
+                      std::function<void(const wire::message&)> reply);
+
 /// The leader's answers to an entry's messages; nothing for other messages.
 std::optional<wire::message> answer_entry(job_leader& leader, const wire::message& message);
 
--- a/packages/wire/include/egretstile/wire/message/messages.hpp
+++ b/packages/wire/include/egretstile/wire/message/messages.hpp
@@ -240,6 +240,32 @@
     job_id job;
 };
 
+/// From an entry that cannot reach the store to the leader: creates the key with this value, unless
+/// it exists.
+struct create_key {
+    std::uint64_t call_id{0};
+    std::string key;
+    std::string value;
+};
+
+enum class create_outcome : std::uint8_t {
+    created,
+    existed,
+    not_created, ///< Nothing was done and nothing will be.
+    unknown      ///< It may have been created, or may still be.
+};
+
+inline constexpr std::array<enum_name<create_outcome>, 4> create_outcome_names{
+    {{create_outcome::created, "created"},
+     {create_outcome::existed, "existed"},
+     {create_outcome::not_created, "not_created"},
+     {create_outcome::unknown, "unknown"}}};
+
+struct create_key_answer {
+    std::uint64_t call_id{0};
+    create_outcome outcome{create_outcome::unknown};
+};
+
 struct job_query {
     std::uint64_t call_id{0};
     job_id job;
@@ -264,10 +290,11 @@
     std::uint64_t count{0};
 };
 
-using message = std::variant<hello, heartbeat, heartbeat_reply, start_task, start_reply, evict_task,
-                             throttle_task, serve_request, serve_reply, cancel_request,
-                             forward_submit, forward_query, forward_cancel, forward_reply,
-                             vm_report, vm_orders, leader_ping, leader_pong, job_accepted,
-                             job_cancelled, job_query, job_answer, pending_query, pending_answer>;
+using message =
+    std::variant<hello, heartbeat, heartbeat_reply, start_task, start_reply, evict_task,
+                 throttle_task, serve_request, serve_reply, cancel_request, forward_submit,
+                 forward_query, forward_cancel, forward_reply, vm_report, vm_orders, leader_ping,
+                 leader_pong, job_accepted, job_cancelled, job_query, job_answer, pending_query,
+                 pending_answer, create_key, create_key_answer>;
 
 } // namespace egretstile::wire
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -322,4 +322,14 @@
     archive(value.call_id, value.known, value.count);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, create_key& value) {
+    archive(value.call_id, value.key, value.value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, create_key_answer& value) {
+    archive(value.call_id, value.outcome);
+}
+
 } // namespace egretstile::wire
