--- a/packages/core/include/egretstile/core/interference/latency_guard.hpp
+++ b/packages/core/include/egretstile/core/interference/latency_guard.hpp
@@ -29,9 +29,8 @@
 struct latency_guard_settings {
     sharing_model sharing;
     pressure_model_settings pressure;
-    /// Headroom of a task that has been over its target at which everything may run that does not
-    /// press on it. Other images wait until the backlog has drained, or what they cause is not
-    /// seen.
+    /// A task that has been over its target stops all that fills until its headroom is back at
+    /// this, and the images that press on it until its backlog has drained.
     double recovered_headroom{1.15};
     /// Loss of headroom that is too small to matter.
     double negligible_loss{0.1};
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -1,8 +1,6 @@
-#include <egretstile/core/interference/latency_guard.hpp>
 #include <egretstile/core/job/job_scheduler.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace egretstile {
@@ -25,10 +23,6 @@
                        });
 }
 
-/// A slope that has changed by less, absolutely or relatively, is not sent again.
-constexpr double sent_slope_change = 0.5;
-constexpr double sent_slope_ratio = 0.15;
-
 const step_spec& step_of(const job_entry& job, const task_ref& task) {
     return job.spec.steps[task.step];
 }
@@ -83,25 +77,6 @@
     expected_[name] = silent_until;
 }
 
-void job_scheduler::agent_connected(const vm_name& name) {
-    const auto found = vms_.find(name);
-    if (found == vms_.end()) {
-        return;
-    }
-    vm_state& vm = found->second;
-    vm.orders_sent = 0;
-    vm.taken_report = 0;
-    for (const auto& [run, needs] : vm.runs) {
-        if (tracked_run* const tracked = find_run(run)) {
-            tracked->order_number = 0;
-            tracked->stop_sent_at = boot_time();
-            tracked->attributes_known = false;
-        }
-    }
-    outboxes_.erase(name);
-    slopes_sent_.erase(name);
-}
-
 bool job_scheduler::take_report(const vm_report& report, boot_time now) {
     vm_state& vm = vms_[report.vm];
     vm.name = report.vm;
@@ -357,21 +332,6 @@
     }
 }
 
-void job_scheduler::order_stop(vm_state& vm, const task_attempt& run, boot_time now) {
-    tracked_run* const tracked = find_run(run);
-    std::vector<task_attempt>& stops = outboxes_[vm.name].stops;
-    if (tracked != nullptr && tracked->vm == vm.name) {
-        if (tracked->stopping && now < tracked->stop_sent_at + settings_.stop_repeat) {
-            return;
-        }
-        tracked->stopping = true;
-        tracked->stop_sent_at = now;
-    }
-    if (std::find(stops.begin(), stops.end(), run) == stops.end()) {
-        stops.push_back(run);
-    }
-}
-
 void job_scheduler::stop_other_runs(const task_ref& task, boot_time now) {
     for (const tracked_run& tracked : jobs_.find_task(task)->runs) {
         const auto vm = vms_.find(tracked.vm);
@@ -423,42 +383,6 @@
     }
 }
 
-vm_orders job_scheduler::take_orders(const vm_name& name, std::uint64_t answered_report) {
-    vm_orders orders;
-    orders.epoch = epoch_;
-    orders.answered_report = answered_report;
-    orders.permission_ms = static_cast<std::uint32_t>(settings_.permission_term.count());
-    const auto found = vms_.find(name);
-    if (found == vms_.end()) {
-        return orders;
-    }
-    vm_state& vm = found->second;
-    orders.based_on_report = vm.taken_report;
-    orders.runner_life = vm.runner.life;
-    orders.acknowledged_ends = vm.acknowledged_end;
-    outbox pending = std::move(outboxes_[name]);
-    outboxes_.erase(name);
-    if (!pending.starts.empty() || !pending.stops.empty()) {
-        ++vm.orders_sent;
-    }
-    orders.number = vm.orders_sent;
-    orders.starts = std::move(pending.starts);
-    orders.stops = std::move(pending.stops);
-    orders.attributes = std::move(pending.attributes);
-    orders.pressures = unsent_pressures(vm);
-    return orders;
-}
-
-std::vector<vm_name> job_scheduler::vms_with_orders() const {
-    std::vector<vm_name> names;
-    for (const auto& [name, pending] : outboxes_) {
-        if (!pending.starts.empty() || !pending.stops.empty() || !pending.attributes.empty()) {
-            names.push_back(name);
-        }
-    }
-    return names;
-}
-
 void job_scheduler::mark_stored(const job_id& id, std::uint64_t version, boot_time now) {
     if (job_entry* const job = jobs_.find(id)) {
         jobs_.mark_stored(*job, version, now);
@@ -501,92 +425,6 @@
     return found == task->runs.end() ? nullptr : &*found;
 }
 
-void job_scheduler::observe_pressure(vm_state& vm, const vm_report& report, boot_time now) {
-    std::vector<guarded_run> runs;
-    for (const active_run& active : report.active) {
-        const job_entry* const job = jobs_.find(active.run.task.job);
-        if (job == nullptr || active.run.task.step >= job->spec.steps.size()) {
-            continue;
-        }
-        runs.push_back(guarded_run_of(active, attributes_of(*job, active.run)));
-    }
-    pressures_.observe(vm.name, runs, vm.runner.capacity.cpu_millicores, now);
-    vm.serving_use = pressures_.serving_use(runs);
-    vm.serving.clear();
-    for (const guarded_run& run : runs) {
-        if (run.target_latency_ms == 0) {
-            continue;
-        }
-        const double headroom =
-            pressures_.own_headroom(run.run, latency_guard_settings{}.usual_headroom);
-        const auto group =
-            std::find_if(vm.serving.begin(), vm.serving.end(),
-                         [&run](const serving_group& known) { return known.image == run.image; });
-        if (group == vm.serving.end()) {
-            vm.serving.push_back({run.image, headroom, 0});
-        } else {
-            group->own_headroom = std::min(group->own_headroom, headroom);
-        }
-    }
-    update_taken_headroom(vm);
-}
-
-void job_scheduler::update_taken_headroom(vm_state& vm) const {
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
-    for (serving_group& group : vm.serving) {
-        group.taken_headroom = 0;
-        for (const auto& [image, millicores] : vm.filling_by_image) {
-            group.taken_headroom +=
-                pressures_.slope(group.image, image) * static_cast<double>(millicores) / capacity;
-        }
-    }
-}
-
-std::vector<image_pressure> job_scheduler::unsent_pressures(const vm_state& vm) {
-    std::vector<image_pressure> rows;
-    std::map<std::pair<std::string, std::string>, double>& sent = slopes_sent_[vm.name];
-    for (const serving_group& group : vm.serving) {
-        for (const auto& [image, millicores] : vm.filling_by_image) {
-            const std::optional<image_pressure> known = pressures_.known(group.image, image);
-            if (!known) {
-                continue;
-            }
-            const auto before = sent.find({group.image, image});
-            const double least = std::max(sent_slope_change, known->slope * sent_slope_ratio);
-            if (before == sent.end() || std::abs(known->slope - before->second) >= least) {
-                sent[{group.image, image}] = known->slope;
-                rows.push_back(*known);
-            }
-        }
-    }
-    return rows;
-}
-
-bool job_scheduler::is_half_idle(const std::string& service) const {
-    std::int64_t capacity = 0;
-    std::int64_t taken = 0;
-    for (const auto& [name, vm] : vms_) {
-        if (vm.usable && vm.runner.state == runner_state::ready && vm.runner.service == service &&
-            closed_domains_.count(vm.runner.failure_domain) == 0) {
-            capacity += vm.runner.capacity.cpu_millicores;
-            taken += vm.reserved.cpu_millicores;
-        }
-    }
-    return 2 * taken < capacity;
-}
-
-start_order job_scheduler::attributes_of(const job_entry& job, const task_attempt& run) const {
-    const step_spec& step = step_of(job, run.task);
-    start_order order;
-    order.run = run;
-    order.fills_idle_cpu = step.fills_idle_cpu;
-    order.target_latency_ms = step.target_latency_ms;
-    order.image = step.image;
-    order.cpu_millicores = step.need.cpu_millicores;
-    return order;
-}
-
 void job_scheduler::note(const std::string& what, const std::string& fields) const {
     observe_({what, fields});
 }
--- /dev/null
+++ b/packages/core/source/job/job_scheduler_orders.cpp
@@ -0,0 +1,89 @@
+#include <egretstile/core/job/job_scheduler.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace egretstile {
+
+void job_scheduler::agent_connected(const vm_name& name) {
+    const auto found = vms_.find(name);
+    if (found == vms_.end()) {
+        return;
+    }
+    vm_state& vm = found->second;
+    vm.orders_sent = 0;
+    vm.taken_report = 0;
+    for (const auto& [run, needs] : vm.runs) {
+        if (tracked_run* const tracked = find_run(run)) {
+            tracked->order_number = 0;
+            tracked->stop_sent_at = boot_time();
+            tracked->attributes_known = false;
+        }
+    }
+    outboxes_.erase(name);
+    slopes_sent_.erase(name);
+}
+
+vm_orders job_scheduler::take_orders(const vm_name& name, std::uint64_t answered_report) {
+    vm_orders orders;
+    orders.epoch = epoch_;
+    orders.answered_report = answered_report;
+    orders.permission_ms = static_cast<std::uint32_t>(settings_.permission_term.count());
+    const auto found = vms_.find(name);
+    if (found == vms_.end()) {
+        return orders;
+    }
+    vm_state& vm = found->second;
+    orders.based_on_report = vm.taken_report;
+    orders.runner_life = vm.runner.life;
+    orders.acknowledged_ends = vm.acknowledged_end;
+    outbox pending = std::move(outboxes_[name]);
+    outboxes_.erase(name);
+    if (!pending.starts.empty() || !pending.stops.empty()) {
+        ++vm.orders_sent;
+    }
+    orders.number = vm.orders_sent;
+    orders.starts = std::move(pending.starts);
+    orders.stops = std::move(pending.stops);
+    orders.attributes = std::move(pending.attributes);
+    orders.pressures = unsent_pressures(vm);
+    return orders;
+}
+
+std::vector<vm_name> job_scheduler::vms_with_orders() const {
+    std::vector<vm_name> names;
+    for (const auto& [name, pending] : outboxes_) {
+        if (!pending.starts.empty() || !pending.stops.empty() || !pending.attributes.empty()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+void job_scheduler::order_stop(vm_state& vm, const task_attempt& run, boot_time now) {
+    tracked_run* const tracked = find_run(run);
+    std::vector<task_attempt>& stops = outboxes_[vm.name].stops;
+    if (tracked != nullptr && tracked->vm == vm.name) {
+        if (tracked->stopping && now < tracked->stop_sent_at + settings_.stop_repeat) {
+            return;
+        }
+        tracked->stopping = true;
+        tracked->stop_sent_at = now;
+    }
+    if (std::find(stops.begin(), stops.end(), run) == stops.end()) {
+        stops.push_back(run);
+    }
+}
+
+start_order job_scheduler::attributes_of(const job_entry& job, const task_attempt& run) const {
+    const step_spec& step = job.spec.steps[run.task.step];
+    start_order order;
+    order.run = run;
+    order.fills_idle_cpu = step.fills_idle_cpu;
+    order.target_latency_ms = step.target_latency_ms;
+    order.image = step.image;
+    order.cpu_millicores = step.need.cpu_millicores;
+    return order;
+}
+
+} // namespace egretstile
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -19,7 +19,7 @@
 /// Serving tasks of one image are sensitive to the same images, so a VM of them can take others.
 constexpr double same_image_bonus = 0.5;
 
-/// Cost of each tenth of the speed that a task that fills loses; more than what keeps VMs apart.
+/// Cost of a task that fills and stands still; in proportion for one that is slower than alone.
 constexpr double slowness_penalty = 3.0;
 /// A VM without serving tasks is kept for images that press on others.
 constexpr double undisturbed_penalty = 0.25;
