--- a/packages/daemon/tests/settings/settings_loader_test.cpp
+++ b/packages/daemon/tests/settings/settings_loader_test.cpp
@@ -70,16 +70,24 @@
 const std::string job_entry_minimum = "vm = 'edge-1'\nfailure_domain = 'ub-north'\n"
                                       "host = '127.0.0.1'\nstore = '127.0.0.1:7000'\n";
 
+std::string with_processor_share(const std::string& value) {
+    std::string text = job_entry_minimum;
+    text += "processor_share = ";
+    text += value;
+    text += '\n';
+    return text;
+}
+
 TEST_CASE("a decimal setting takes whole numbers and fractions, and nothing outside its range") {
     for (const std::string value : {"1", "0.069"}) {
-        const settings_folder folder(job_entry_minimum + "processor_share = " + value + "\n");
+        const settings_folder folder(with_processor_share(value));
         const job_entry_settings settings =
             std::get<job_entry_settings>(load_job_entry_settings(folder.path()));
         CHECK(settings.processor_share == Approx(std::stod(value)));
     }
     for (const std::string value : {"0", "-0.5", "nan", "'0.5'", "true"}) {
         CAPTURE(value);
-        const settings_folder folder(job_entry_minimum + "processor_share = " + value + "\n");
+        const settings_folder folder(with_processor_share(value));
         CHECK(std::holds_alternative<std::vector<settings_error>>(
             load_job_entry_settings(folder.path())));
     }
