routing: share light load among upstreams that are about equally fast

Cause: with no request in flight, the upstream with the least expected answer time always won, by whatever difference.

Change: a difference below a quarter of the cost is none, so that the random order decides; an upstream without an answer for two seconds counts as fast as the mean, so that one request finds out.

--- a/packages/core/include/egretstile/core/routing/upstream_health.hpp
+++ b/packages/core/include/egretstile/core/routing/upstream_health.hpp
@@ -37,6 +37,9 @@
     /// Whether enough answers have arrived for `measured_us` to be compared with others.
     bool is_measured() const;
 
+    /// Whether the last answer is so old that the upstream may have changed since.
+    bool is_outdated(boot_time now) const;
+
     /// Moving average of the answer time in microseconds.
     double measured_us() const { return latency_us_; }
 
--- a/packages/core/source/routing/upstream_health.cpp
+++ b/packages/core/source/routing/upstream_health.cpp
@@ -23,6 +23,9 @@
 /// Age at which the own measurement and the reported one weigh the same.
 constexpr std::chrono::duration<double> half_weight_age{1.0};
 
+/// One request in this time finds out whether a slow upstream still is; slow spells last seconds.
+constexpr milliseconds measurement_lifetime{2000};
+
 } // namespace
 
 void upstream_health::add_success(double latency_us, boot_time now) {
@@ -75,6 +78,10 @@
     return answers_ >= minimum_answers;
 }
 
+bool upstream_health::is_outdated(boot_time now) const {
+    return answers_ > 0 && now - last_answer_ > measurement_lifetime;
+}
+
 double upstream_health::expected_us(double reported_us, boot_time now) const {
     if (answers_ == 0) {
         return reported_us;
--- a/packages/core/source/routing/upstream_pool.cpp
+++ b/packages/core/source/routing/upstream_pool.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds typical_lifetime{100};
 /// With fewer measured upstreams the median says nothing about which of them is the outlier.
 constexpr std::size_t minimum_peers = 3;
+/// Part of the expected cost that counts as a difference: means of a few answer times of equal
+/// upstreams differ by less.
+constexpr double significant_saving = 0.25;
 
 } // namespace
 
@@ -261,7 +264,8 @@
         // The entry's own count is exact; the reported load and latency are up to a heartbeat
         // interval old and the same at all entries, which would then choose alike.
         const bool is_better = upstream.outstanding < best_outstanding ||
-                               (upstream.outstanding == best_outstanding && cost < best_cost);
+                               (upstream.outstanding == best_outstanding &&
+                                cost < best_cost * (1.0 - significant_saving));
         if (best == candidates_.size() || is_better) {
             best = i;
             best_outstanding = upstream.outstanding;
@@ -277,7 +281,11 @@
         reported_us = times_.mean_us();
     }
     // One microsecond keeps the order by load when no answer time is known.
-    const double latency_us = std::max(1.0, upstream.health.expected_us(reported_us, now));
+    double latency_us = std::max(1.0, upstream.health.expected_us(reported_us, now));
+    if (upstream.health.is_outdated(now) && times_.known()) {
+        // Only a request shows whether it is still slow.
+        latency_us = std::min(latency_us, std::max(1.0, times_.mean_us()));
+    }
     const double occupancy = load(upstream);
     // Below the number of slots requests run side by side, above it they queue.
     return occupancy < 1.0 ? latency_us * (1.0 + occupancy) : latency_us * 2.0 * occupancy;
--- a/packages/core/tests/routing/upstream_pool_test.cpp
+++ b/packages/core/tests/routing/upstream_pool_test.cpp
@@ -233,5 +233,45 @@
     CHECK(pool.choose({}, router_start) == "vm-1");
 }
 
+/// Plays light load: each request is answered, after the VM's answer time, before the next one.
+/// Returns the requests of each VM.
+std::map<vm_name, int> play_one_by_one(upstream_pool& pool, const std::map<vm_name, double>& times,
+                                       milliseconds length) {
+    std::map<vm_name, int> requests;
+    constexpr milliseconds pause(10);
+    for (milliseconds past(0); past < length; past += pause) {
+        const boot_time now = router_start + past;
+        for (const auto& [vm, latency_us] : times) {
+            pool.observe(ready_upstream(vm), now);
+        }
+        const std::optional<vm_name> vm = pool.choose({}, now);
+        REQUIRE(vm.has_value());
+        answer(pool, *vm, attempt_result::answered, times.at(*vm), now);
+        ++requests[*vm];
+    }
+    return requests;
+}
+
+// Guards against an upstream that gets no request for seconds because its first answers took a
+// little longer than those of the others.
+TEST_CASE("light load is spread over upstreams whose answer times hardly differ") {
+    upstream_pool pool(routing_settings{});
+    std::map<vm_name, int> requests =
+        play_one_by_one(pool, {{"vm-0", 2100}, {"vm-1", 2400}, {"vm-2", 2000}}, milliseconds(3000));
+    CHECK(requests["vm-0"] > 50);
+    CHECK(requests["vm-1"] > 50);
+    CHECK(requests["vm-2"] > 50);
+}
+
+// Guards against an upstream that stays unused for good after it was slow for a moment, and against
+// many requests that find out that it still is.
+TEST_CASE("an upstream that was slower than the others is tried again from time to time") {
+    upstream_pool pool(routing_settings{});
+    std::map<vm_name, int> requests = play_one_by_one(
+        pool, {{"vm-0", 2000}, {"vm-1", 6000}, {"vm-2", 2000}}, milliseconds(20000));
+    CHECK(requests["vm-1"] >= 5);
+    CHECK(requests["vm-1"] < 40);
+}
+
 } // namespace
 } // namespace egretstile
