jobs: keep gangs whole and on one rack, order occurrences by their own time

Change: the rest of a gang is stopped when a member is missing; a gang that is slower on several racks takes the rack with most room, and several only when none holds it; an occurrence is owed from its own time. A step that finds no room is noted once with what was known of the VMs and its age; decisions are an enum with their sentences. Gangs have a file of their own.

Excluded: labels as a fault.

Measured: the tests of gangs (two) and of the order of occurrences fail with the three changes taken out one by one, and pass with them.

--- /dev/null
+++ b/packages/core/include/egretstile/core/job/decision.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <egretstile/core/base/name_table.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace egretstile {
+
+/// What the leader's scheduler has decided or has learned about a job, a run or a VM.
+enum class decision_kind : std::uint8_t {
+    start_task,
+    step_waits,
+    move_task,
+    run_ended,
+    run_missing,
+    give_up_run,
+    stop_unknown_run,
+    job_done,
+    job_failed,
+    job_cancelled,
+    avoid_vm,
+    vm_stays_silent
+};
+
+/// Names in metrics.
+inline constexpr std::array<enum_name<decision_kind>, 12> decision_kind_names{
+    {{decision_kind::start_task, "start_task"},
+     {decision_kind::step_waits, "step_waits"},
+     {decision_kind::move_task, "move_task"},
+     {decision_kind::run_ended, "run_ended"},
+     {decision_kind::run_missing, "run_missing"},
+     {decision_kind::give_up_run, "give_up_run"},
+     {decision_kind::stop_unknown_run, "stop_unknown_run"},
+     {decision_kind::job_done, "job_done"},
+     {decision_kind::job_failed, "job_failed"},
+     {decision_kind::job_cancelled, "job_cancelled"},
+     {decision_kind::avoid_vm, "avoid_vm"},
+     {decision_kind::vm_stays_silent, "vm_stays_silent"}}};
+
+/// Sentences in logs.
+inline constexpr std::array<enum_name<decision_kind>, 12> decision_sentences{
+    {{decision_kind::start_task, "Starts a task."},
+     {decision_kind::step_waits, "A step waits: no VM has room for its next task."},
+     {decision_kind::move_task, "Moves a task that makes no progress."},
+     {decision_kind::run_ended, "A run ended."},
+     {decision_kind::run_missing, "A run is not on its VM."},
+     {decision_kind::give_up_run, "Gave up a run."},
+     {decision_kind::stop_unknown_run, "Stops a run of an unknown task."},
+     {decision_kind::job_done, "A job is done."},
+     {decision_kind::job_failed, "A job failed: a task used up its attempts."},
+     {decision_kind::job_cancelled, "Cancelled a job."},
+     {decision_kind::avoid_vm, "Avoids a VM whose runs fail."},
+     {decision_kind::vm_stays_silent, "A VM of an earlier leader stayed silent."}}};
+
+/// One line for the log, and one count.
+struct decision {
+    decision_kind kind{decision_kind::start_task};
+    /// `name=value` pairs.
+    std::string fields;
+};
+
+} // namespace egretstile
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/job/decision.hpp>
 #include <egretstile/core/job/job_table.hpp>
 #include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/job/task_placer.hpp>
@@ -49,13 +50,6 @@
     std::size_t moves_at_a_time{8};
 };
 
-/// One line for the log about a decision.
-struct decision {
-    std::string what;
-    /// `name=value` pairs.
-    std::string fields;
-};
-
 /// The leader's part: decides which task runs where. Makes orders for agents and progress to store;
 /// sends and stores nothing itself. Not thread-safe; `now` must not go back.
 class job_scheduler {
@@ -141,6 +135,12 @@
         std::vector<start_order> attributes;
     };
 
+    /// Where a task of a gang starts.
+    struct gang_member {
+        vm_state* vm{nullptr};
+        task_ref task;
+    };
+
     void take_ends(vm_state& vm, const vm_report& report, boot_time now);
     void take_end(vm_state& vm, const ended_run& end, boot_time now);
     void take_failure(vm_state& vm, job_entry& job, const ended_run& end, boot_time now);
@@ -150,7 +150,7 @@
     void find_missing(vm_state& vm, const vm_report& report, boot_time now);
     void lose_runs(vm_state& vm, boot_time now, const char* reason);
     /// The run is over without an end that counts; the task waits again.
-    void release_run(vm_state& vm, const task_attempt& run, boot_time retry_at);
+    void release_run(vm_state& vm, const task_attempt& run, boot_time retry_at, boot_time now);
     void forget_run(vm_state& vm, const task_attempt& run);
     void wait_again(job_entry& job, const task_ref& task);
     void order_stop(vm_state& vm, const task_attempt& run, boot_time now);
@@ -170,7 +170,21 @@
     bool may_run_unseen(const job_entry& job, const job_task& task) const;
     /// Whether no VM had room for an equal task in this pass.
     bool is_hopeless(const job_entry& job, const step_spec& step) const;
+    /// Logs, once for each step, that a task of it waits for room.
+    void note_waiting(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     void start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    /// Reserves room for all members, on one rack if that is faster and possible. Empty, and
+    /// nothing reserved, when there is no room for all.
+    std::vector<gang_member> place_gang(const job_entry& job, const task_ref& first,
+                                        attempt_number attempt, boot_time now);
+    /// The same on one rack; an empty name stands for all VMs.
+    std::vector<gang_member> place_gang_on(const job_entry& job, const task_ref& first,
+                                           attempt_number attempt, const std::string& rack,
+                                           boot_time now);
+    /// Racks of the job's service, that with the most free processor time first.
+    std::vector<std::string> racks_by_room(const job_entry& job) const;
+    /// Stops the other members of a gang's run, which cannot work without this one.
+    void stop_rest_of_gang(const job_entry& job, const task_attempt& missing, boot_time now);
     bool start_task(job_entry& job, const task_ref& task, boot_time now);
     void order_start(job_entry& job, const task_ref& task, attempt_number attempt, vm_state& vm,
                      boot_time now);
@@ -184,7 +198,7 @@
     /// Whether less than half of the processor time of the service's open VMs is reserved.
     bool is_half_idle(const std::string& service) const;
     start_order attributes_of(const job_entry& job, const task_attempt& run) const;
-    void note(const std::string& what, const std::string& fields) const;
+    void note(decision_kind kind, const std::string& fields) const;
 
     scheduler_settings settings_;
     epoch_number epoch_;
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -54,6 +54,8 @@
     std::size_t done_count{0};
     /// Tasks that are neither done nor have a run.
     std::set<std::uint32_t> waiting;
+    /// The log says that a task of the step waits for room.
+    bool waiting_noted{false};
 };
 
 struct occurrence_state {
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -22,6 +22,8 @@
     const pressure_model* pressures{nullptr};
     /// The task may start where it will be slow.
     bool accept_slow{false};
+    /// Only VMs of this rack; empty: of any.
+    std::string rack;
     /// VM on which the task failed last; used only when no other fits.
     vm_name disliked;
 };
@@ -64,6 +66,9 @@
 /// What a task of the step takes on a VM. Thread-safe.
 vm_run needs_of(const step_spec& step);
 
+/// Whether the VM has the label; each has the empty one. Thread-safe.
+bool has_label(const vm_state& vm, const std::string& label);
+
 /// Whether the VM may take the task: it is ready, in service, has the label and the room, and does
 /// not exceed the step's limit of tasks on one VM. Thread-safe.
 bool may_take(const vm_state& vm, const placement_request& request,
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -67,7 +67,7 @@
     if (job == nullptr || is_final(job->state)) {
         return;
     }
-    note("Cancelled a job.", field("job", id));
+    note(decision_kind::job_cancelled, field("job", id));
     jobs_.finish(*job, job_state::cancelled);
     stop_all_runs(*job, boot_time());
 }
@@ -141,7 +141,7 @@
 void job_scheduler::take_end(vm_state& vm, const ended_run& end, boot_time now) {
     job_entry* const job = jobs_.find(end.run.task.job);
     job_task* const task = jobs_.find_task(end.run.task);
-    note("A run ended.",
+    note(decision_kind::run_ended,
          fields_of(end.run, vm.name) +
              field("outcome", std::string(name_of(run_outcome_names, end.outcome))));
     if (job == nullptr || task == nullptr) {
@@ -170,6 +170,11 @@
     if (end.outcome == run_outcome::failed) {
         take_failure(vm, *job, end, now);
     }
+    const bool ended_alone =
+        end.outcome == run_outcome::stopped || end.outcome == run_outcome::lapsed;
+    if (ended_alone && step_of(*job, end.run.task).gang) {
+        stop_rest_of_gang(*job, end.run, now);
+    }
     wait_again(*job, end.run.task);
 }
 
@@ -177,7 +182,7 @@
                                  boot_time now) {
     if (++vm.failures_in_row >= settings_.failures_to_avoid) {
         vm.avoided_until = now + settings_.avoidance;
-        note("Avoids a VM whose runs fail.",
+        note(decision_kind::avoid_vm,
              field("vm", vm.name) + field("failures", std::to_string(vm.failures_in_row)));
     }
     const step_spec& step = step_of(job, end.run.task);
@@ -197,7 +202,7 @@
     failed.push_back(end.run.attempt);
     jobs_.mark_changed(job);
     if (failed.size() >= job.policy.max_attempts && !is_final(job.state)) {
-        note("A job failed: a task used up its attempts.",
+        note(decision_kind::job_failed,
              fields_of(end.run, vm.name) + field("failures", std::to_string(failed.size())));
         jobs_.finish(job, job_state::failed);
         stop_all_runs(job, now);
@@ -224,7 +229,7 @@
     job_entry* const job = jobs_.find(active.run.task.job);
     job_task* const task = jobs_.find_task(active.run.task);
     if (job == nullptr || task == nullptr) {
-        note("Stops a run of an unknown task.", fields_of(active.run, vm.name));
+        note(decision_kind::stop_unknown_run, fields_of(active.run, vm.name));
         outboxes_[vm.name].stops.push_back(active.run);
         return;
     }
@@ -265,12 +270,12 @@
 void job_scheduler::take_rejected(vm_state& vm, const vm_report& report, boot_time now) {
     for (const rejected_run& rejected : report.rejected) {
         if (vm.runs.count(rejected.run) != 0) {
-            note("A run is not on its VM.",
+            note(decision_kind::run_missing,
                  fields_of(rejected.run, vm.name) + field("reason", rejected.reason));
             if (job_task* const task = jobs_.find_task(rejected.run.task)) {
                 task->failed_on = vm.name;
             }
-            release_run(vm, rejected.run, now + settings_.retry_pause);
+            release_run(vm, rejected.run, now + settings_.retry_pause, now);
         }
     }
 }
@@ -295,8 +300,8 @@
 void job_scheduler::lose_runs(vm_state& vm, boot_time now, const char* reason) {
     while (!vm.runs.empty()) {
         const task_attempt run = vm.runs.begin()->first;
-        note("Gave up a run.", fields_of(run, vm.name) + field("reason", reason));
-        release_run(vm, run, now);
+        note(decision_kind::give_up_run, fields_of(run, vm.name) + field("reason", reason));
+        release_run(vm, run, now, now);
     }
     outboxes_.erase(vm.name);
 }
@@ -315,13 +320,17 @@
                runs.end());
 }
 
-void job_scheduler::release_run(vm_state& vm, const task_attempt& run, boot_time retry_at) {
+void job_scheduler::release_run(vm_state& vm, const task_attempt& run, boot_time retry_at,
+                                boot_time now) {
     forget_run(vm, run);
     job_entry* const job = jobs_.find(run.task.job);
     job_task* const task = jobs_.find_task(run.task);
     if (job != nullptr && task != nullptr) {
         task->retry_at = std::max(task->retry_at, retry_at);
         wait_again(*job, run.task);
+        if (step_of(*job, run.task).gang) {
+            stop_rest_of_gang(*job, run, now);
+        }
     }
 }
 
@@ -351,16 +360,9 @@
     }
 }
 
-void job_scheduler::finish_gang(job_entry& job, const task_ref& task) {
-    const std::uint32_t count = job.spec.steps[task.step].count;
-    for (std::uint32_t index = 0; index < count; ++index) {
-        jobs_.mark_done(job, {task.job, task.occurrence, task.step, index});
-    }
-}
-
 void job_scheduler::check_completed(job_entry& job) {
     if (!is_final(job.state) && is_done(job)) {
-        note("A job is done.", field("job", job.spec.id));
+        note(decision_kind::job_done, field("job", job.spec.id));
         jobs_.finish(job, job_state::completed);
     }
 }
@@ -425,8 +427,8 @@
     return found == task->runs.end() ? nullptr : &*found;
 }
 
-void job_scheduler::note(const std::string& what, const std::string& fields) const {
-    observe_({what, fields});
+void job_scheduler::note(decision_kind kind, const std::string& fields) const {
+    observe_({kind, fields});
 }
 
 } // namespace egretstile
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -19,10 +19,18 @@
 /// A job that takes up to this many times its objective is late, and then of no use.
 constexpr double late_factor = 3.0;
 
-/// Longest chain of estimated run times of what is left.
-milliseconds remaining_chain(const job_entry& job) {
+/// First occurrence that is not done. Precondition: the job is unfinished.
+const occurrence_state& present_occurrence(const job_entry& job) {
+    const auto found = std::find_if(job.occurrences.begin(), job.occurrences.end(),
+                                    [](const occurrence_state& occurrence) {
+                                        return occurrence.done_steps < occurrence.steps.size();
+                                    });
+    return found == job.occurrences.end() ? job.occurrences.back() : *found;
+}
+
+/// Longest chain of estimated run times of what is left of an occurrence.
+milliseconds remaining_chain(const job_entry& job, const occurrence_state& occurrence) {
     milliseconds longest(0);
-    const occurrence_state& occurrence = job.occurrences.back();
     std::vector<milliseconds> until_end(job.spec.steps.size(), milliseconds(0));
     for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
         milliseconds before(0);
@@ -52,23 +60,29 @@
 job_rank rank_of(job_entry& job, std::int64_t wall_ms) {
     const double objective = static_cast<double>(job.chain.count()) * job.policy.slack_factor +
                              static_cast<double>(job.policy.target_completion.count());
-    const std::int64_t end = wall_ms + remaining_chain(job).count();
+    const occurrence_state& occurrence = present_occurrence(job);
+    // Work at a set time is owed from that time on, not from the job's acceptance.
+    const std::int64_t wanted_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
+    const std::int64_t end = wall_ms + remaining_chain(job, occurrence).count();
     job_rank rank;
     rank.priority = job.policy.priority;
-    rank.objective_ms = job.spec.accepted_at_ms + static_cast<std::int64_t>(objective);
+    rank.objective_ms = wanted_at_ms + static_cast<std::int64_t>(objective);
     rank.job = &job;
     if (end > rank.objective_ms) {
-        rank.objective_ms =
-            job.spec.accepted_at_ms + static_cast<std::int64_t>(objective * late_factor);
+        rank.objective_ms = wanted_at_ms + static_cast<std::int64_t>(objective * late_factor);
         rank.timely = end > rank.objective_ms ? timeliness::too_late : timeliness::late;
     }
-    // What runs until it is cancelled or at set times has no end to be late for.
-    if (job.chain.count() == 0 || job.spec.schedule.repetitions > 0) {
+    // What runs until it is cancelled has no end to be late for.
+    if (job.chain.count() == 0) {
         rank.timely = timeliness::in_time;
     }
     return rank;
 }
 
+std::int64_t age_ms(boot_time from, boot_time now) {
+    return std::chrono::duration_cast<milliseconds>(now - from).count();
+}
+
 bool has_runs(const job_entry& job) {
     for (const occurrence_state& occurrence : job.occurrences) {
         for (const step_state& step : occurrence.steps) {
@@ -117,7 +131,7 @@
     }
     for (auto expected = expected_.begin(); expected != expected_.end();) {
         if (now >= expected->second) {
-            note("A VM of an earlier leader stayed silent.", "vm=" + expected->first);
+            note(decision_kind::vm_stays_silent, "vm=" + expected->first);
             expected = expected_.erase(expected);
         } else {
             ++expected;
@@ -176,7 +190,7 @@
                                          now >= run.progressed_at + settings_.stall_limit;
                     const task_ref task{job->spec.id, k, s, i};
                     if (stalled && better_vm(*job, task, run.vm, now) != nullptr) {
-                        note("Moves a task that makes no progress.",
+                        note(decision_kind::move_task,
                              "job=" + task.job + " task=" + to_string(task) + " vm=" + run.vm +
                                  " percent=" + std::to_string(run.percent));
                         tasks[i].failed_on = run.vm;
@@ -233,11 +247,39 @@
             continue;
         }
         if (!start_task(job, task, now)) {
+            note_waiting(job, occurrence, step, now);
             return;
         }
     }
 }
 
+void job_scheduler::note_waiting(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+                                 boot_time now) {
+    step_state& state = job.occurrences[occurrence].steps[step];
+    if (std::exchange(state.waiting_noted, true)) {
+        return;
+    }
+    std::size_t usable = 0;
+    std::int64_t free_millicores = 0;
+    boot_time oldest_report = now;
+    for (const auto& [name, vm] : vms_) {
+        if (vm.usable && vm.runner.service == job.policy.service &&
+            has_label(vm, job.spec.steps[step].required_label)) {
+            ++usable;
+            free_millicores += std::max<std::int64_t>(vm.free_millicores(), 0);
+            oldest_report = std::min(oldest_report, vm.reported_at);
+        }
+    }
+    note(decision_kind::step_waits,
+         "job=" + job.spec.id + " step=" + std::to_string(occurrence) + "." + std::to_string(step) +
+             " waiting=" + std::to_string(state.waiting.size()) +
+             " need_millicores=" + std::to_string(job.spec.steps[step].need.cpu_millicores) +
+             " required_label=" + job.spec.steps[step].required_label + " usable_vms=" +
+             std::to_string(usable) + " free_millicores=" + std::to_string(free_millicores) +
+             " oldest_report_ms=" + std::to_string(age_ms(oldest_report, now)) +
+             " config=" + std::to_string(config_.version));
+}
+
 bool job_scheduler::may_run_unseen(const job_entry& job, const job_task& task) const {
     return is_recovering() && job.spec.accepted_epoch < epoch_ && !task.located;
 }
@@ -283,42 +325,6 @@
     return true;
 }
 
-void job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
-                               boot_time now) {
-    const step_state& state = job.occurrences[occurrence].steps[step];
-    if (state.waiting.size() < state.tasks.size()) {
-        return; // Members of the run before are still there.
-    }
-    attempt_number attempt = 0;
-    for (const job_task& task : state.tasks) {
-        if (task.retry_at > now || may_run_unseen(job, task)) {
-            return;
-        }
-        attempt = std::max(attempt, next_attempt(job, task.progress));
-    }
-    // All members start or none; a reservation without an order is taken back.
-    std::vector<std::pair<vm_state*, task_attempt>> placed;
-    for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
-        const task_ref task{job.spec.id, occurrence, step, index};
-        placement_request request;
-        request.job = &job;
-        request.step = &job.spec.steps[step];
-        request.task = task;
-        vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
-        if (vm == nullptr) {
-            for (const auto& [reserved, run] : placed) {
-                reserved->remove_run(run);
-            }
-            return;
-        }
-        vm->add_run({task, attempt}, needs_of(*request.step));
-        placed.emplace_back(vm, task_attempt{task, attempt});
-    }
-    for (const auto& [vm, run] : placed) {
-        order_start(job, run.task, attempt, *vm, now);
-    }
-}
-
 void job_scheduler::order_start(job_entry& job, const task_ref& task, attempt_number attempt,
                                 vm_state& vm, boot_time now) {
     job_task& state = *jobs_.find_task(task);
@@ -342,9 +348,11 @@
     order.payload = job.spec.payload;
     order.checkpoint = state.progress.checkpoint;
     outboxes_[vm.name].starts.push_back(std::move(order));
-    note("Starts a task.", "job=" + task.job + " task=" + to_string(task) +
-                               " attempt=" + std::to_string(attempt) + " vm=" + vm.name +
-                               " free_millicores=" + std::to_string(vm.free_millicores()));
+    note(decision_kind::start_task,
+         "job=" + task.job + " task=" + to_string(task) + " attempt=" + std::to_string(attempt) +
+             " vm=" + vm.name + " free_millicores=" + std::to_string(vm.free_millicores()) +
+             " report_age_ms=" + std::to_string(age_ms(vm.reported_at, now)) +
+             " config=" + std::to_string(config_.version));
 }
 
 attempt_number job_scheduler::next_attempt(const job_entry& job,
--- /dev/null
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -0,0 +1,120 @@
+#include <egretstile/core/job/job_scheduler.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace egretstile {
+
+void job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+                               boot_time now) {
+    const step_state& state = job.occurrences[occurrence].steps[step];
+    if (state.waiting.size() < state.tasks.size()) {
+        return; // Members of the run before are still there.
+    }
+    attempt_number attempt = 0;
+    for (const job_task& task : state.tasks) {
+        if (task.retry_at > now || may_run_unseen(job, task)) {
+            return;
+        }
+        attempt = std::max(attempt, next_attempt(job, task.progress));
+    }
+    std::vector<gang_member> members =
+        place_gang(job, {job.spec.id, occurrence, step, 0}, attempt, now);
+    if (members.empty()) {
+        note_waiting(job, occurrence, step, now);
+        return;
+    }
+    for (const gang_member& member : members) {
+        order_start(job, member.task, attempt, *member.vm, now);
+    }
+}
+
+std::vector<job_scheduler::gang_member> job_scheduler::place_gang(const job_entry& job,
+                                                                  const task_ref& first,
+                                                                  attempt_number attempt,
+                                                                  boot_time now) {
+    std::vector<std::string> racks;
+    if (job.spec.steps[first.step].rack_local) {
+        racks = racks_by_room(job);
+    }
+    // Any racks, when no single one has the room.
+    racks.emplace_back();
+    for (const std::string& rack : racks) {
+        std::vector<gang_member> members = place_gang_on(job, first, attempt, rack, now);
+        if (!members.empty()) {
+            return members;
+        }
+    }
+    return {};
+}
+
+std::vector<job_scheduler::gang_member>
+job_scheduler::place_gang_on(const job_entry& job, const task_ref& first, attempt_number attempt,
+                             const std::string& rack, boot_time now) {
+    const step_spec& step = job.spec.steps[first.step];
+    std::vector<gang_member> members;
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        placement_request request;
+        request.job = &job;
+        request.step = &step;
+        request.task = first;
+        request.task.index = index;
+        request.rack = rack;
+        request.pressures = &pressures_;
+        request.disliked = jobs_.find_task(request.task)->failed_on;
+        vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
+        if (vm == nullptr) {
+            // All members start or none; what was reserved is given back.
+            for (const gang_member& member : members) {
+                member.vm->remove_run({member.task, attempt});
+            }
+            return {};
+        }
+        vm->add_run({request.task, attempt}, needs_of(step));
+        members.push_back({vm, request.task});
+    }
+    return members;
+}
+
+std::vector<std::string> job_scheduler::racks_by_room(const job_entry& job) const {
+    std::map<std::string, std::int64_t> room;
+    for (const auto& [name, vm] : vms_) {
+        if (vm.usable && vm.runner.state == runner_state::ready &&
+            vm.runner.service == job.policy.service && !vm.runner.rack.empty()) {
+            room[vm.runner.rack] += vm.free_millicores();
+        }
+    }
+    std::vector<std::pair<std::int64_t, std::string>> sorted;
+    for (const auto& [rack, millicores] : room) {
+        sorted.emplace_back(-millicores, rack);
+    }
+    std::sort(sorted.begin(), sorted.end());
+    std::vector<std::string> racks;
+    for (const auto& [millicores, rack] : sorted) {
+        racks.push_back(rack);
+    }
+    return racks;
+}
+
+void job_scheduler::stop_rest_of_gang(const job_entry& job, const task_attempt& missing,
+                                      boot_time now) {
+    const std::vector<job_task>& tasks =
+        job.occurrences[missing.task.occurrence].steps[missing.task.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const task_attempt member{
+            {missing.task.job, missing.task.occurrence, missing.task.step, index}, missing.attempt};
+        const tracked_run* const run = find_run(member);
+        if (run != nullptr) {
+            order_stop(vms_[run->vm], member, now);
+        }
+    }
+}
+
+void job_scheduler::finish_gang(job_entry& job, const task_ref& task) {
+    const std::uint32_t count = job.spec.steps[task.step].count;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        jobs_.mark_done(job, {task.job, task.occurrence, task.step, index});
+    }
+}
+
+} // namespace egretstile
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -152,13 +152,19 @@
     return needs;
 }
 
+bool has_label(const vm_state& vm, const std::string& label) {
+    const std::vector<std::string>& labels = vm.runner.labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 bool may_take(const vm_state& vm, const placement_request& request,
               const std::set<failure_domain_name>& closed_domains) {
     const step_spec& step = *request.step;
     if (!vm.usable || vm.runner.state != runner_state::ready ||
         vm.runner.service != request.job->policy.service ||
         closed_domains.count(vm.runner.failure_domain) != 0 ||
-        request.excluded.count(vm.name) != 0) {
+        request.excluded.count(vm.name) != 0 ||
+        (!request.rack.empty() && vm.runner.rack != request.rack)) {
         return false;
     }
     if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
@@ -169,9 +175,7 @@
         expected_speed(vm, request) < slowest_start) {
         return false;
     }
-    const std::vector<std::string>& labels = vm.runner.labels;
-    if (!step.required_label.empty() &&
-        std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
+    if (!has_label(vm, step.required_label)) {
         return false;
     }
     if (step.max_per_vm == 0) {
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -69,7 +69,8 @@
     , handlers_(std::move(callbacks))
     , scheduler_(settings.scheduler, won.epoch, std::make_unique<separating_placer>(),
                  [](const decision& made) {
-                     write_log(log_part::leader, log_level::info, made.what, made.fields);
+                     write_log(log_part::leader, log_level::info,
+                               std::string(name_of(decision_sentences, made.kind)), made.fields);
                  })
     , jobs_(
           loop, store, store_keys::job_prefix, job_watch_wait,
