jobs: metrics of job processes, a settings file that changes without a signal, logs as a timeline

Change: job entries count callers' requests by call and outcome, decisions by kind and calls to the store, and time them; job agents count calls to the runner. The settings file is looked at every second.

Excluded: a port of the deployment's own range for the metrics; the deploy file wants a number, and the range is only known to the settings.

`explain` for jobs of the platform is not there yet.

--- a/packages/cli/source/command/invocation.cpp
+++ b/packages/cli/source/command/invocation.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <chrono>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <sstream>
 #include <system_error>
@@ -57,6 +58,14 @@
     return description;
 }
 
+options::options_description logs_options() {
+    options::options_description description("Options of logs");
+    description.add_options()(
+        "job", options::value<std::string>()->default_value("")->value_name("ID"),
+        "only the lines of this job and what happened around it, with a summary");
+    return description;
+}
+
 bool is_sheet_change(command_id command) {
     return command == command_id::sheet_apply || command == command_id::sheet_diff;
 }
@@ -67,6 +76,8 @@
         description.add(apply_options());
     } else if (command == command_id::submit) {
         description.add(submit_options());
+    } else if (command == command_id::logs) {
+        description.add(logs_options());
     }
     return description;
 }
@@ -222,16 +233,23 @@
                  const options::variables_map& values) {
     const std::size_t operands = words.size() - word_count(command);
     const std::size_t wanted = command.operand.empty() ? 0 : 1;
-    if (operands != wanted || (wanted == 1 && words.back().empty())) {
+    const bool takes_several = command.id == command_id::logs;
+    if ((takes_several ? operands < wanted : operands != wanted) ||
+        (wanted == 1 && words.back().empty())) {
         throw argument_error{"usage: " + usage_line(command)};
     }
     invocation result;
     result.command = command.id;
     result.operand = wanted == 1 ? words.back() : std::string();
+    result.operands.assign(std::prev(words.end(), static_cast<std::ptrdiff_t>(operands)),
+                           words.end());
     result.output = named(values, "output", output_format_names);
     result.server = server_of(values, command);
     result.token = token_of(values, command);
     result.confirm_removals = is_sheet_change(command.id) && values.count("confirm-removals") != 0;
+    if (command.id == command_id::logs) {
+        result.job = values["job"].as<std::string>();
+    }
     if (command.id == command_id::submit) {
         result.task = submitted_task(values, result.operand);
     }
@@ -241,7 +259,7 @@
 /// The command's words. All options are known here, so that no value is taken for a word.
 std::vector<std::string> command_words(const std::vector<std::string>& arguments) {
     options::options_description all = global_options();
-    all.add(apply_options()).add(submit_options());
+    all.add(apply_options()).add(submit_options()).add(logs_options());
     return words_of(parse(arguments, all));
 }
 
@@ -284,7 +302,10 @@
          "let a drained VM admit work again",
          "egretstile --entry 127.0.0.1:8081 --token-file token upstream undrain vm-3"},
         {command_id::trace, "trace", "FILE", command_target::local,
-         "print the traces of a trace file as trees", "egretstile trace entry-trace.jsonl"}};
+         "print the traces of a trace file as trees", "egretstile trace entry-trace.jsonl"},
+        {command_id::logs, "logs", "FILE...", command_target::local,
+         "join the logs of several processes into one timeline",
+         "egretstile logs edge-1.log edge-2.log --job 5a4db88cbe76905b"}};
     return commands;
 }
 
--- a/packages/cli/source/command/invocation.hpp
+++ b/packages/cli/source/command/invocation.hpp
@@ -32,7 +32,8 @@
     explain,
     upstream_drain,
     upstream_undrain,
-    trace
+    trace,
+    logs
 };
 
 /// Which settings a command needs.
@@ -56,6 +57,10 @@
 struct invocation {
     command_id command{command_id::status};
     std::string operand;
+    /// All operands; only `logs` takes several.
+    std::vector<std::string> operands;
+    /// Of `logs`: only this job's timeline; empty: all lines.
+    std::string job;
     output_format output{output_format::table};
     server_address server;
     /// Contents of the token file.
--- a/packages/cli/source/command/run.cpp
+++ b/packages/cli/source/command/run.cpp
@@ -2,6 +2,7 @@
 
 #include "command/answer_printer.hpp"
 #include "command/invocation.hpp"
+#include "command/log_timeline.hpp"
 #include "command/trace_tree.hpp"
 
 #include <egretstile/sheet/report/sheet_report.hpp>
@@ -233,6 +234,35 @@
     return tree.spans == 0 ? exit_code::refused : exit_code::done;
 }
 
+exit_code run_logs(const invocation& call, const streams& out) {
+    log_timeline timeline;
+    for (const std::string& path : call.operands) {
+        std::ifstream file(path);
+        if (!file) {
+            out.errors << "File " << path << " cannot be read.\n";
+            return exit_code::usage;
+        }
+        timeline.read(file, path);
+    }
+    if (!call.job.empty()) {
+        timeline = timeline.of_job(call.job);
+    }
+    const bool as_json = call.output == output_format::json;
+    out.output << (as_json ? to_json(timeline) : describe(timeline));
+    if (timeline.skipped() != 0) {
+        out.errors << "Skipped " << timeline.skipped() << " lines that are not of a log.\n";
+    }
+    if (timeline.lines().empty()) {
+        out.errors << (call.job.empty() ? "No line of a log was found.\n"
+                                        : "No line names job " + call.job + ".\n");
+        return exit_code::refused;
+    }
+    if (!call.job.empty() && !as_json) {
+        out.output << "\n" << summarize_job(timeline, call.job);
+    }
+    return exit_code::done;
+}
+
 exit_code run_command(const invocation& call, http_client& client, const streams& out) {
     switch (call.command) {
     case command_id::sheet_check:
@@ -241,6 +271,8 @@
         return run_sheet(call, client, out);
     case command_id::trace:
         return run_trace(call, out);
+    case command_id::logs:
+        return run_logs(call, out);
     default:
         return run_call(call, client, out);
     }
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -85,6 +85,9 @@
 
     epoch_number epoch() const { return epoch_; }
 
+    /// Until when tasks may run without a further word of the leader.
+    boot_time permission_until() const { return permission_until_; }
+
     const runner_registration& registration() const { return registration_; }
 
     bool lists_known() const { return lists_known_; }
@@ -118,8 +121,6 @@
     void reject(const task_attempt& run, const std::string& reason);
     bool is_listed(const task_attempt& run) const;
 
-    boot_time permission_until() const { return permission_until_; }
-
     run_tracker_settings settings_;
     epoch_number epoch_{0};
     runner_registration registration_;
--- a/packages/daemon/source/entry/entry_metrics.cpp
+++ b/packages/daemon/source/entry/entry_metrics.cpp
@@ -1,20 +1,7 @@
 #include "entry/entry_metrics.hpp"
 
-#include <vector>
-
 namespace egretstile::daemon {
 
-namespace {
-
-/// Seconds; fine around the latencies of lookups on a local network.
-const std::vector<double>& latency_bounds() {
-    static const std::vector<double> bounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-                                            0.1,    0.2,   0.5,   1.0,   2.0,  5.0};
-    return bounds;
-}
-
-} // namespace
-
 entry_metrics::entry_metrics()
     : attempts_(metrics_.counter("egretstile_request_attempts_total",
                                  "Attempts sent to agents, retries and hedges included."))
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -1,5 +1,8 @@
 #include "jobs/job_agent_process.hpp"
 
+#include "jobs/metered_store.hpp"
+#include "telemetry/metrics_server.hpp"
+
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 
@@ -36,10 +39,13 @@
 
 } // namespace
 
-job_agent_process::job_agent_process(job_agent_settings settings, const platform_access& platform)
+job_agent_process::job_agent_process(job_agent_settings settings, const platform_access& platform,
+                                     const bounded_output& log_output)
     : settings_(std::move(settings))
+    , log_output_(log_output)
     , platform_(platform)
-    , store_(platform_.make_store(loop_, settings_.common.store))
+    , store_(std::make_unique<metered_store>(platform_.make_store(loop_, settings_.common.store),
+                                             metrics_.registry()))
     , runner_(platform_.make_runner(loop_, settings_.runner))
     , link_(loop_, {wire::peer_role::agent, settings_.common.vm, 0}, leader_silence,
             {[this](wire::message&& message) {
@@ -56,7 +62,11 @@
     , registrations_(loop_, settings_.registration, {},
                      [this](http_request&& request, const http_server::responder& respond) {
                          take_registration(request, respond);
-                     }) {}
+                     })
+    , metrics_server_(serve_metrics(loop_, settings_.common, [this] {
+        metrics_.set_state(present_state());
+        return metrics_.registry().text();
+    })) {}
 
 void job_agent_process::run() {
     control_.start();
@@ -170,6 +180,7 @@
     runner_->start(
         start, tracker_.epoch(),
         [this, run = order.run, life](std::variant<runner_done, runner_refusal>&& answer) {
+            count_call(runner_call::start, answer);
             if (life == tracker_.registration().life) {
                 take_start_answer(run, answer);
             }
@@ -201,6 +212,7 @@
         const std::string life = tracker_.registration().life;
         runner_->stop(*run, tracker_.epoch(),
                       [this, run = *run, life](std::variant<runner_done, runner_refusal>&& answer) {
+                          count_call(runner_call::stop, answer);
                           if (life != tracker_.registration().life) {
                               return;
                           }
@@ -232,6 +244,7 @@
     runner_->renew(renewal, tracker_.epoch(),
                    [this, life](std::variant<runner_lists, runner_refusal>&& answer) {
                        renewing_ = false;
+                       count_call(runner_call::renew, answer);
                        if (life != tracker_.registration().life) {
                            return;
                        }
@@ -302,6 +315,7 @@
         runner_->throttle(
             change.run, change.percent, tracker_.epoch(),
             [this, run = change.run](std::variant<runner_done, runner_refusal>&& answer) {
+                count_call(runner_call::throttle, answer);
                 if (std::holds_alternative<runner_refusal>(answer)) {
                     guard_.change_failed(run);
                 }
@@ -327,4 +341,15 @@
     }
 }
 
+job_agent_state job_agent_process::present_state() const {
+    job_agent_state state;
+    state.active_tasks = tracker_.active().size();
+    state.epoch = tracker_.epoch();
+    state.permission_seconds = std::max(
+        0.0, std::chrono::duration<double>(tracker_.permission_until() - boot_now()).count());
+    state.least_headroom = guard_.least_headroom();
+    state.log_lines_left_out = log_output_.left_out();
+    return state;
+}
+
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/control_view.hpp"
+#include "jobs/job_agent_metrics.hpp"
 #include "jobs/leader_link.hpp"
 #include "settings/job_settings.hpp"
 
@@ -9,6 +10,7 @@
 #include <egretstile/runtime/http/http_server.hpp>
 #include <egretstile/runtime/net/event_loop.hpp>
 #include <egretstile/runtime/platform_access.hpp>
+#include <egretstile/runtime/telemetry/bounded_output.hpp>
 
 #include <memory>
 #include <string>
@@ -19,7 +21,9 @@
 /// what runs. `request_stop` is thread-safe; everything else is for one thread.
 class job_agent_process {
 public:
-    job_agent_process(job_agent_settings settings, const platform_access& platform);
+    /// `platform` and `log_output` must outlive the process.
+    job_agent_process(job_agent_settings settings, const platform_access& platform,
+                      const bounded_output& log_output);
     job_agent_process(const job_agent_process&) = delete;
     job_agent_process& operator=(const job_agent_process&) = delete;
     job_agent_process(job_agent_process&&) = delete;
@@ -29,6 +33,10 @@
     /// Runs until the process has stopped.
     void run();
     void request_stop();
+    /// Calls `function` at this interval while the process runs. Precondition: before `run`.
+    void call_every(milliseconds interval, std::function<void()> function) {
+        loop_.call_every(interval, std::move(function));
+    }
 
 private:
     void take_registration(const http_request& request, const http_server::responder& respond);
@@ -47,9 +55,24 @@
     std::vector<guarded_run> guarded_runs() const;
     void guard_latency();
     void report();
+
+    template <typename Result>
+    void count_call(runner_call call,
+                    const std::variant<Result, infrastructure::runner_refusal>& answer) {
+        if (const infrastructure::runner_refusal* const refusal =
+                std::get_if<infrastructure::runner_refusal>(&answer)) {
+            metrics_.count_refused(call, *refusal);
+        } else {
+            metrics_.count_done(call);
+        }
+    }
+
     void report_soon();
+    job_agent_state present_state() const;
 
     job_agent_settings settings_;
+    const bounded_output& log_output_;
+    job_agent_metrics metrics_;
     event_loop loop_;
     const platform_access& platform_;
     std::unique_ptr<infrastructure::coordination_store> store_;
@@ -61,6 +84,8 @@
     leader_link link_;
     control_view control_;
     http_server registrations_;
+    /// Null when no metrics are served.
+    std::unique_ptr<http_server> metrics_server_;
     std::string runner_id_;
     std::int64_t runner_born_ms_{0};
     std::uint64_t heartbeat_sequence_{0};
--- /dev/null
+++ b/packages/daemon/source/jobs/job_entry_metrics.cpp
@@ -0,0 +1,79 @@
+#include "jobs/job_entry_metrics.hpp"
+
+#include <string>
+
+namespace egretstile::daemon {
+
+job_call_outcome outcome_of_status(int status) {
+    switch (status) {
+    case 429:
+    case 503:
+        return job_call_outcome::refused;
+    case 502:
+    case 504:
+        return job_call_outcome::unknown;
+    case 404:
+    case 410:
+        return job_call_outcome::absent;
+    default:
+        return status >= 200 && status < 300 ? job_call_outcome::answered
+                                             : job_call_outcome::invalid;
+    }
+}
+
+job_entry_metrics::job_entry_metrics()
+    : call_seconds_(metrics_.histogram("egretstile_job_call_seconds",
+                                       "Time from a caller's request to its response.",
+                                       latency_bounds()))
+    , leader_epoch_(metrics_.gauge("egretstile_leader_epoch",
+                                   "Epoch with which this entry leads; 0: it does not lead."))
+    , config_version_(metrics_.gauge("egretstile_config_version",
+                                     "Version of the configuration in force here."))
+    , config_age_(
+          metrics_.gauge("egretstile_config_age_seconds",
+                         "Time since the store confirmed that no later configuration exists."))
+    , jobs_(metrics_.gauge("egretstile_jobs", "Jobs that this entry knows as the leader."))
+    , unfinished_jobs_(
+          metrics_.gauge("egretstile_unfinished_jobs", "Jobs of the leader without a final state."))
+    , vms_(metrics_.gauge("egretstile_leader_vms", "VMs on which this leader may start tasks."))
+    , connections_(metrics_.gauge("egretstile_caller_connections", "Open connections of callers."))
+    , left_out_(metrics_.gauge("egretstile_log_left_out_lines",
+                               "Log lines that were left out since the start of the process.")) {
+    for (const enum_name<job_call>& call : job_call_names) {
+        for (const enum_name<job_call_outcome>& outcome : job_call_outcome_names) {
+            calls_.at(static_cast<std::size_t>(call.value))
+                .at(static_cast<std::size_t>(outcome.value)) = &metrics_.counter(
+                "egretstile_job_calls_total", "Callers' requests by call and outcome.",
+                {{"call", std::string(call.name)}, {"outcome", std::string(outcome.name)}});
+        }
+    }
+    for (const enum_name<decision_kind>& row : decision_kind_names) {
+        decisions_.at(static_cast<std::size_t>(row.value)) = &metrics_.counter(
+            "egretstile_decisions_total", "Decisions of this entry as the leader.",
+            {{"decision", std::string(row.name)}});
+    }
+}
+
+void job_entry_metrics::count_call(job_call call, int status, boot_clock::duration duration) {
+    calls_.at(static_cast<std::size_t>(call))
+        .at(static_cast<std::size_t>(outcome_of_status(status)))
+        ->Increment();
+    call_seconds_.Observe(std::chrono::duration<double>(duration).count());
+}
+
+void job_entry_metrics::count_decision(decision_kind kind) {
+    decisions_.at(static_cast<std::size_t>(kind))->Increment();
+}
+
+void job_entry_metrics::set_state(const job_entry_state& state) {
+    leader_epoch_.Set(static_cast<double>(state.leader_epoch));
+    config_version_.Set(static_cast<double>(state.config_version));
+    config_age_.Set(state.config_age_seconds);
+    jobs_.Set(static_cast<double>(state.jobs));
+    unfinished_jobs_.Set(static_cast<double>(state.unfinished_jobs));
+    vms_.Set(static_cast<double>(state.vms));
+    connections_.Set(static_cast<double>(state.connections));
+    left_out_.Set(static_cast<double>(state.log_lines_left_out));
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/jobs/job_entry_metrics.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "telemetry/metrics.hpp"
+
+#include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/name_table.hpp>
+#include <egretstile/core/job/decision.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace egretstile::daemon {
+
+/// What a caller asked for.
+enum class job_call : std::uint8_t { submit, show, cancel, pending, other };
+
+inline constexpr std::array<enum_name<job_call>, 5> job_call_names{{{job_call::submit, "submit"},
+                                                                    {job_call::show, "show"},
+                                                                    {job_call::cancel, "cancel"},
+                                                                    {job_call::pending, "pending"},
+                                                                    {job_call::other, "other"}}};
+
+enum class job_call_outcome : std::uint8_t {
+    answered,
+    refused, ///< Nothing was done; the caller may come back.
+    unknown, ///< It may have been done.
+    absent,  ///< No such queue or job.
+    invalid  ///< The call makes no sense.
+};
+
+inline constexpr std::array<enum_name<job_call_outcome>, 5> job_call_outcome_names{
+    {{job_call_outcome::answered, "answered"},
+     {job_call_outcome::refused, "refused"},
+     {job_call_outcome::unknown, "unknown"},
+     {job_call_outcome::absent, "absent"},
+     {job_call_outcome::invalid, "invalid"}}};
+
+/// Outcome that an HTTP status tells the caller. Thread-safe.
+job_call_outcome outcome_of_status(int status);
+
+/// What is read off an entry when its metrics are fetched.
+struct job_entry_state {
+    /// Epoch with which the process leads; zero: it does not lead.
+    std::uint64_t leader_epoch{0};
+    std::uint64_t config_version{0};
+    double config_age_seconds{0};
+    std::size_t jobs{0};
+    std::size_t unfinished_jobs{0};
+    std::size_t vms{0};
+    std::size_t connections{0};
+    std::uint64_t log_lines_left_out{0};
+};
+
+/// Metrics of a job entry; docs/metrics.md lists them. Thread-safe.
+class job_entry_metrics {
+public:
+    job_entry_metrics();
+
+    void count_call(job_call call, int status, boot_clock::duration duration);
+    void count_decision(decision_kind kind);
+    void set_state(const job_entry_state& state);
+
+    metrics& registry() { return metrics_; }
+
+private:
+    metrics metrics_;
+    std::array<std::array<prometheus::Counter*, job_call_outcome_names.size()>,
+               job_call_names.size()>
+        calls_{};
+    std::array<prometheus::Counter*, decision_kind_names.size()> decisions_{};
+    prometheus::Histogram& call_seconds_;
+    prometheus::Gauge& leader_epoch_;
+    prometheus::Gauge& config_version_;
+    prometheus::Gauge& config_age_;
+    prometheus::Gauge& jobs_;
+    prometheus::Gauge& unfinished_jobs_;
+    prometheus::Gauge& vms_;
+    prometheus::Gauge& connections_;
+    prometheus::Gauge& left_out_;
+};
+
+} // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -1,5 +1,8 @@
 #include "jobs/job_entry_process.hpp"
 
+#include "jobs/metered_store.hpp"
+#include "telemetry/metrics_server.hpp"
+
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 
@@ -24,10 +27,13 @@
 
 } // namespace
 
-job_entry_process::job_entry_process(job_entry_settings settings, const platform_access& platform)
+job_entry_process::job_entry_process(job_entry_settings settings, const platform_access& platform,
+                                     const bounded_output& log_output)
     : settings_(std::move(settings))
     , platform_(platform)
-    , store_(platform_.make_store(loop_, settings_.common.store))
+    , log_output_(log_output)
+    , store_(std::make_unique<metered_store>(platform_.make_store(loop_, settings_.common.store),
+                                             metrics_.registry()))
     , link_(loop_, own_hello(), leader_silence,
             {[this](wire::message&& message) { access_.take_message(message); }, [] {}})
     , access_(loop_, link_)
@@ -42,7 +48,7 @@
                          leader_->confirm_leadership(time);
                      }
                  }})
-    , front_(loop_, *store_, platform_.callers(), operators_, access_, {})
+    , front_(loop_, *store_, platform_.callers(), operators_, access_, metrics_, {})
     , callers_(loop_, settings_.callers, {},
                [this](http_request&& request, http_server::responder respond) {
                    front_.handle(std::move(request), std::move(respond));
@@ -50,7 +56,11 @@
     , readiness_(loop_, settings_.readiness, {},
                  [this](http_request&& request, const http_server::responder& respond) {
                      answer_readiness(request, respond);
-                 }) {}
+                 })
+    , metrics_server_(serve_metrics(loop_, settings_.common, [this] {
+        metrics_.set_state(present_state());
+        return metrics_.registry().text();
+    })) {}
 
 void job_entry_process::run() {
     operators_.start();
@@ -113,7 +123,8 @@
         job_leader::handlers{[this](const vm_name& name, const wire::message& message) {
                                  return send_to_agent(name, message);
                              },
-                             [this] { loop_.post([this] { election_.later_epoch_seen(); }); }});
+                             [this] { loop_.post([this] { election_.later_epoch_seen(); }); },
+                             [this](decision_kind kind) { metrics_.count_decision(kind); }});
     access_.set_local(leader_.get());
     operators_changed();
 }
@@ -191,6 +202,26 @@
     respond(std::move(response));
 }
 
+job_entry_state job_entry_process::present_state() const {
+    job_entry_state state;
+    if (leader_ != nullptr) {
+        const job_scheduler& scheduler = leader_->scheduler();
+        state.leader_epoch = leader_->epoch();
+        state.jobs = scheduler.job_count();
+        state.unfinished_jobs = scheduler.jobs().unfinished().size();
+        state.vms = scheduler.vms().size();
+    }
+    if (operators_.config()) {
+        state.config_version = operators_.config()->version;
+    }
+    if (const std::optional<boot_time> confirmed = operators_.confirmed_at()) {
+        state.config_age_seconds = std::chrono::duration<double>(boot_now() - *confirmed).count();
+    }
+    state.connections = callers_.connections();
+    state.log_lines_left_out = log_output_.left_out();
+    return state;
+}
+
 void job_entry_process::begin_stop() {
     if (std::exchange(stopping_, true)) {
         return;
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/job_entry_metrics.hpp"
 #include "jobs/job_front.hpp"
 #include "jobs/job_leader.hpp"
 #include "jobs/leader_access.hpp"
@@ -12,6 +13,7 @@
 #include <egretstile/runtime/http/http_server.hpp>
 #include <egretstile/runtime/net/event_loop.hpp>
 #include <egretstile/runtime/platform_access.hpp>
+#include <egretstile/runtime/telemetry/bounded_output.hpp>
 
 #include <map>
 #include <memory>
@@ -23,7 +25,9 @@
 /// is thread-safe; everything else is for one thread.
 class job_entry_process {
 public:
-    job_entry_process(job_entry_settings settings, const platform_access& platform);
+    /// `platform` and `log_output` must outlive the process.
+    job_entry_process(job_entry_settings settings, const platform_access& platform,
+                      const bounded_output& log_output);
     job_entry_process(const job_entry_process&) = delete;
     job_entry_process& operator=(const job_entry_process&) = delete;
     job_entry_process(job_entry_process&&) = delete;
@@ -33,6 +37,10 @@
     /// Runs until the process has stopped.
     void run();
     void request_stop();
+    /// Calls `function` at this interval while the process runs. Precondition: before `run`.
+    void call_every(milliseconds interval, std::function<void()> function) {
+        loop_.call_every(interval, std::move(function));
+    }
 
 private:
     void control_changed();
@@ -45,6 +53,7 @@
     void take_peer_message(frame_connection& connection, wire::message&& message);
     bool send_to_agent(const vm_name& name, const wire::message& message);
     void answer_readiness(const http_request& request, const http_server::responder& respond) const;
+    job_entry_state present_state() const;
     void begin_stop();
     void continue_stop();
 
@@ -54,6 +63,8 @@
 
     job_entry_settings settings_;
     const platform_access& platform_;
+    const bounded_output& log_output_;
+    job_entry_metrics metrics_;
     event_loop loop_;
     std::unique_ptr<infrastructure::coordination_store> store_;
     /// Agents by VM; the newest connection counts.
@@ -68,6 +79,8 @@
     job_front front_;
     http_server callers_;
     http_server readiness_;
+    /// Null when no metrics are served.
+    std::unique_ptr<http_server> metrics_server_;
     std::uint64_t pings_{0};
     bool stopping_{false};
     boot_time stop_at_{};
--- a/packages/daemon/source/jobs/job_front.cpp
+++ b/packages/daemon/source/jobs/job_front.cpp
@@ -38,6 +38,19 @@
     return host.substr(0, host.find(':'));
 }
 
+job_call call_of(const http_request& request) {
+    if (request.method == "POST") {
+        return job_call::submit;
+    }
+    if (request.method == "DELETE") {
+        return job_call::cancel;
+    }
+    if (request.method == "GET") {
+        return request.path.ends_with('/') ? job_call::pending : job_call::show;
+    }
+    return job_call::other;
+}
+
 void log_decision(const std::string& what, const job_id& id, const std::string& fields) {
     write_log(log_part::job, log_level::info, what, "job=" + id + " " + fields);
 }
@@ -46,15 +59,26 @@
 
 job_front::job_front(event_loop& loop, coordination_store& store, const caller_protocol& protocol,
                      const operator_view& operators, leader_access& leader,
-                     const front_settings& settings)
+                     job_entry_metrics& metrics, const front_settings& settings)
     : loop_(loop)
     , store_(store)
     , protocol_(protocol)
     , operators_(operators)
     , leader_(leader)
+    , metrics_(metrics)
     , settings_(settings) {}
 
-void job_front::handle(http_request&& request, http_server::responder respond) {
+http_server::responder job_front::counted(job_call call, http_server::responder respond) {
+    return
+        [this, call, begun = boot_now(), respond = std::move(respond)](http_response&& response) {
+            metrics_.count_call(call, response.status, boot_now() - begun);
+            respond(std::move(response));
+        };
+}
+
+void job_front::handle(http_request&& request, http_server::responder responder) {
+    const job_call call = call_of(request);
+    const http_server::responder respond = counted(call, std::move(responder));
     if (!operators_.config()) {
         http_response refusal = response_of(503, "{\"error\":\"no configuration yet\"}");
         refusal.headers["Retry-After"] = "1";
@@ -69,15 +93,15 @@
     }
     const std::string id = request.path.substr(queue->path_prefix.size());
     if (id.empty() && request.method == "GET") {
-        show_pending(*queue, std::move(respond));
+        show_pending(*queue, respond);
     } else if (!protocol_.is_job_id(id)) {
         respond(response_of(400, "{\"error\":\"no job id\"}"));
     } else if (request.method == "POST") {
-        submit(*queue, id, request, std::move(respond));
+        submit(*queue, id, request, respond);
     } else if (request.method == "GET") {
-        show(id, std::move(respond));
+        show(id, respond);
     } else if (request.method == "DELETE") {
-        cancel(id, request, std::move(respond));
+        cancel(id, request, respond);
     } else {
         respond(response_of(405));
     }
--- a/packages/daemon/source/jobs/job_front.hpp
+++ b/packages/daemon/source/jobs/job_front.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/job_entry_metrics.hpp"
 #include "jobs/leader_access.hpp"
 #include "jobs/operator_view.hpp"
 
@@ -28,7 +29,7 @@
 public:
     job_front(event_loop& loop, infrastructure::coordination_store& store,
               const infrastructure::caller_protocol& protocol, const operator_view& operators,
-              leader_access& leader, const front_settings& settings);
+              leader_access& leader, job_entry_metrics& metrics, const front_settings& settings);
     job_front(const job_front&) = delete;
     job_front& operator=(const job_front&) = delete;
     job_front(job_front&&) = delete;
@@ -50,6 +51,8 @@
         http_server::responder respond;
     };
 
+    /// Counts and times the call when it is answered.
+    http_server::responder counted(job_call call, http_server::responder respond);
     void try_store_directly(const std::shared_ptr<stored_call>& call, milliseconds timeout);
     /// Lets the leader store the call, when this process does not reach the store.
     void try_store_by_leader(const std::shared_ptr<stored_call>& call, milliseconds timeout);
@@ -73,10 +76,11 @@
     const infrastructure::caller_protocol& protocol_;
     const operator_view& operators_;
     leader_access& leader_;
+    job_entry_metrics& metrics_;
     front_settings settings_;
-    /// Spreads the times at which refused callers come back.
     /// Until then the leader is asked to store first.
     boot_time leader_first_until_{};
+    /// Spreads the times at which refused callers come back.
     std::uint32_t refusals_{0};
 };
 
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -68,7 +68,8 @@
     , leadership_(won)
     , handlers_(std::move(callbacks))
     , scheduler_(settings.scheduler, won.epoch, std::make_unique<separating_placer>(),
-                 [](const decision& made) {
+                 [this](const decision& made) {
+                     handlers_.on_decision(made.kind);
                      write_log(log_part::leader, log_level::info,
                                std::string(name_of(decision_sentences, made.kind)), made.fields);
                  })
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -33,6 +33,8 @@
         std::function<bool(const vm_name&, const wire::message&)> send;
         /// Someone else leads with a later epoch.
         std::function<void()> on_later_epoch;
+        /// The scheduler has decided something; it is logged by the leader.
+        std::function<void(decision_kind)> on_decision;
     };
 
     job_leader(event_loop& loop, infrastructure::coordination_store& store,
--- a/packages/daemon/source/main.cpp
+++ b/packages/daemon/source/main.cpp
@@ -4,6 +4,7 @@
 #include "jobs/job_entry_process.hpp"
 #include "net/stop_signal.hpp"
 #include "settings/settings_loader.hpp"
+#include "settings/settings_watch.hpp"
 
 #include <egretstile/platform/access.hpp>
 #include <egretstile/runtime/telemetry/bounded_output.hpp>
@@ -28,6 +29,8 @@
 using namespace egretstile::daemon;
 
 constexpr int exit_usage = 2;
+/// The platform may change the settings file without a signal.
+constexpr milliseconds settings_check_interval{1000};
 
 const char* const usage =
     "Usage:\n"
@@ -120,7 +123,13 @@
     start_logging(value_of(log_level_names, settings.common.log_level).value_or(log_level::info));
     try {
         const egretstile::platform::access platform;
-        Process process(settings, platform);
+        Process process(settings, platform, output);
+        settings_watch watch(file);
+        process.call_every(settings_check_interval, [&watch, &file, load] {
+            if (watch.take_change()) {
+                reload_settings(load(file));
+            }
+        });
         signal.listen([&process] { process.request_stop(); },
                       [&file, load] { reload_settings(load(file)); });
         process.run();
--- a/packages/daemon/source/settings/job_settings.hpp
+++ b/packages/daemon/source/settings/job_settings.hpp
@@ -15,6 +15,8 @@
     std::string host;
     /// First of the ports that are free for the deployment's own processes.
     std::uint16_t first_port{0};
+    /// Port on which metrics are served; zero: none are.
+    std::uint16_t metrics_port{0};
     /// The platform's store.
     endpoint store;
     std::string log_level{"info"};
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -115,6 +115,8 @@
     table.required_text("host", target.host, "Address of this VM.");
     table.number("first_port", "", target.first_port, 1, 65535,
                  "First of the ports that are free for the deployment's own processes.");
+    table.number("metrics_port", "", target.metrics_port, 0, 65535,
+                 "Port on which /metrics is served; 0: none is.");
     table.remote_address("store", target.store, "Address of the platform's store.");
     table.choice("log_level", names_in(log_level_names), target.log_level,
                  "Log lines below this level are dropped.");
--- a/packages/daemon/source/telemetry/metrics.cpp
+++ b/packages/daemon/source/telemetry/metrics.cpp
@@ -33,6 +33,12 @@
 
 } // namespace
 
+const std::vector<double>& latency_bounds() {
+    static const std::vector<double> bounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+                                            0.1,    0.2,   0.5,   1.0,   2.0,  5.0};
+    return bounds;
+}
+
 prometheus::Counter& metrics::counter(const std::string& name, const std::string& help,
                                       const labels& values) {
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry_).Add(values);
--- a/packages/daemon/source/telemetry/metrics.hpp
+++ b/packages/daemon/source/telemetry/metrics.hpp
@@ -11,6 +11,9 @@
 
 namespace egretstile::daemon {
 
+/// Upper bounds in seconds for latencies of calls; fine around those of a local network.
+const std::vector<double>& latency_bounds();
+
 /// Metrics of one process. Reading and changing metrics is thread-safe.
 class metrics {
 public:
--- /dev/null
+++ b/packages/daemon/tests/telemetry/metrics_page_test.cpp
@@ -0,0 +1,86 @@
+#include "entry/entry_metrics.hpp"
+#include "jobs/job_agent_metrics.hpp"
+#include "jobs/job_entry_metrics.hpp"
+#include "jobs/metered_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <memory>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace egretstile::daemon {
+namespace {
+
+std::set<std::string> served_names(const std::string& text) {
+    std::set<std::string> names;
+    std::istringstream lines(text);
+    std::string line;
+    const std::regex help("# HELP ([a-z_]+) .*");
+    while (std::getline(lines, line)) {
+        std::smatch match;
+        if (std::regex_match(line, match, help)) {
+            names.insert(match[1]);
+        }
+    }
+    return names;
+}
+
+/// Metrics in the page's section with this title.
+std::set<std::string> documented_names(const std::string& section) {
+    std::set<std::string> names;
+    std::ifstream input(EGRETSTILE_METRICS_PAGE);
+    std::string line;
+    std::string present_section;
+    const std::regex row("\\| `([a-z_]+)` \\|.*");
+    while (std::getline(input, line)) {
+        std::smatch match;
+        if (line.rfind("## ", 0) == 0) {
+            present_section = line.substr(3);
+        } else if (present_section == section && std::regex_match(line, match, row)) {
+            names.insert(match[1]);
+        }
+    }
+    return names;
+}
+
+void check_section(const std::string& section, const std::string& served) {
+    const std::set<std::string> documented = documented_names(section);
+    CHECK_FALSE(documented.empty());
+    CHECK(served_names(served) == documented);
+}
+
+// These guard against metrics that operators cannot look up, and against a list that names metrics
+// which are not served.
+TEST_CASE("docs/metrics.md lists exactly the metrics that an entry serves") {
+    entry_metrics served;
+    check_section("Entry", served.text());
+}
+
+TEST_CASE("docs/metrics.md lists exactly the metrics that a job entry serves") {
+    job_entry_metrics served;
+    const metered_store store(nullptr, served.registry());
+    check_section("Job entry", served.registry().text());
+}
+
+TEST_CASE("docs/metrics.md lists exactly the metrics that a job agent serves") {
+    job_agent_metrics served;
+    const metered_store store(nullptr, served.registry());
+    check_section("Job agent", served.registry().text());
+}
+
+// Guards against a refusal that is counted as an unknown outcome, and the other way round.
+TEST_CASE("a status counts as the outcome that it tells the caller") {
+    CHECK(outcome_of_status(200) == job_call_outcome::answered);
+    CHECK(outcome_of_status(429) == job_call_outcome::refused);
+    CHECK(outcome_of_status(503) == job_call_outcome::refused);
+    CHECK(outcome_of_status(504) == job_call_outcome::unknown);
+    CHECK(outcome_of_status(410) == job_call_outcome::absent);
+    CHECK(outcome_of_status(400) == job_call_outcome::invalid);
+}
+
+} // namespace
+} // namespace egretstile::daemon
