jobs: watch the speed of VMs, move tasks off slow ones (trial)

Change: the progress of ordinary tasks against their estimates gives each VM a speed relative to the others; slow VMs cost more in placement, tasks that would be done much earlier elsewhere move, and a step that may run twice gets a copy.

--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -116,7 +116,11 @@
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
     give_up_silent(now);
     move_from_draining(now);
-    move_stalled(now);
+    if (now >= moves_considered_at_ + settings_.move_interval) {
+        moves_considered_at_ = now;
+        compare_speeds(now);
+        move_slow(now);
+    }
     start_waiting(now, wall_ms);
 }
 
@@ -153,67 +157,6 @@
     return names;
 }
 
-void job_scheduler::move_from_draining(boot_time now) {
-    for (auto& [name, vm] : vms_) {
-        if (!vm.usable || vm.runner.state != runner_state::draining) {
-            continue;
-        }
-        std::vector<task_attempt> leaving;
-        for (const auto& [run, needs] : vm.runs) {
-            const job_entry* const job = jobs_.find(run.task.job);
-            if (job != nullptr && (job->spec.steps[run.task.step].long_running ||
-                                   job->spec.steps[run.task.step].checkpointing)) {
-                leaving.push_back(run);
-            }
-        }
-        for (const task_attempt& run : leaving) {
-            order_stop(vm, run, now);
-        }
-    }
-}
-
-void job_scheduler::move_stalled(boot_time now) {
-    std::size_t moving = 0;
-    for (job_entry* const job : jobs_.unfinished()) {
-        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
-            for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
-                if (!job->spec.steps[s].fills_idle_cpu) {
-                    continue;
-                }
-                std::vector<job_task>& tasks = job->occurrences[k].steps[s].tasks;
-                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                    if (tasks[i].runs.size() != 1 || moving >= settings_.moves_at_a_time) {
-                        continue;
-                    }
-                    const tracked_run run = tasks[i].runs.front();
-                    const bool stalled = run.seen_active && !run.stopping &&
-                                         now >= run.progressed_at + settings_.stall_limit;
-                    const task_ref task{job->spec.id, k, s, i};
-                    if (stalled && better_vm(*job, task, run.vm, now) != nullptr) {
-                        note(decision_kind::move_task,
-                             "job=" + task.job + " task=" + to_string(task) + " vm=" + run.vm +
-                                 " percent=" + std::to_string(run.percent));
-                        tasks[i].failed_on = run.vm;
-                        order_stop(vms_[run.vm], {task, run.attempt}, now);
-                        ++moving;
-                    }
-                }
-            }
-        }
-    }
-}
-
-vm_state* job_scheduler::better_vm(const job_entry& job, const task_ref& task,
-                                   const vm_name& present, boot_time now) {
-    placement_request request;
-    request.job = &job;
-    request.step = &job.spec.steps[task.step];
-    request.task = task;
-    request.pressures = &pressures_;
-    request.excluded = {present};
-    return placer_->choose(request, vms_, closed_domains_, now);
-}
-
 void job_scheduler::start_waiting(boot_time now, std::int64_t wall_ms) {
     hopeless_.clear();
     half_idle_.clear();
