jobs: take the speed of VMs out again, move or copy any task that stands still

Ruled out: a wrong detection. The two slow VMs were found about 2 s after they turned slow, and the moves came from them.

Change: the speed is out.

Measured: the first two of three tests of standing tasks fail when only tasks that fill move, all pass with the change.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -47,15 +47,11 @@
     /// its speed.
     milliseconds stall_limit{1500};
     double stall_share{0.05};
-    /// A move costs the way of a stop and the restoring of a checkpoint.
-    milliseconds move_cost{1000};
-    /// No more moves at a time than this: those that move restart together.
+    /// A move costs the way of a stop and the restoring of a checkpoint; no more at a time than
+    /// this.
     std::size_t moves_at_a_time{8};
     /// Moves are considered this often; progress is reported every half a second.
     milliseconds move_interval{100};
-    /// Relative speed below which a VM counts as slow. Estimates of single tasks are off by up to
-    /// a half, runners that turn slow work at a fifth.
-    double slow_speed{0.5};
 };
 
 /// The leader's part: decides which task runs where. Makes orders for agents and progress to store;
@@ -168,13 +164,9 @@
     void check_completed(job_entry& job);
     void give_up_silent(boot_time now);
     void move_from_draining(boot_time now);
-    /// Compares the speeds of the VMs of each service.
-    void compare_speeds(boot_time now);
-    void observe_speed(vm_state& vm, const step_spec& step, const active_run& active,
-                       const tracked_run& tracked, boot_time now);
-    /// Starts tasks elsewhere that stand still, or that would be done much earlier on another VM.
-    void move_slow(boot_time now);
-    bool is_worth_moving(const step_spec& step, const tracked_run& run, boot_time now) const;
+    /// Starts tasks elsewhere that stand still.
+    void move_standing(boot_time now);
+    bool is_standing(const step_spec& step, const tracked_run& run, boot_time now) const;
     /// Stops the task's only run so that it starts again, or starts a copy beside it. False when no
     /// other VM can take the task.
     bool move_task(job_entry& job, const task_ref& task, boot_time now);
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -33,9 +33,6 @@
     /// When the stop was sent last.
     boot_time stop_sent_at{};
     std::uint32_t percent{0};
-    /// Percentage at which it was listed first.
-    std::uint32_t first_percent{0};
-    boot_time listed_at{};
     /// When `percent` last rose.
     boot_time progressed_at{};
 };
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -3,7 +3,6 @@
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/job/job_spec.hpp>
 #include <egretstile/core/job/runner_types.hpp>
-#include <egretstile/core/job/vm_speed.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -73,11 +72,6 @@
     std::uint64_t taken_end{0};
     std::uint64_t acknowledged_end{0};
     std::deque<unacknowledged_end> unacknowledged;
-    /// How fast tasks that do not share processor time work here.
-    vm_speed speed;
-    /// `speed` in proportion to that of the other VMs of the service, at most 1; at 1 while the
-    /// difference may be one of the estimates.
-    double relative_speed{1.0};
     /// Failed runs since the last run that ended as done, and until when the VM is avoided.
     std::uint32_t failures_in_row{0};
     boot_time avoided_until{};
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -253,15 +253,11 @@
         order_stop(vm, active.run, now);
         return;
     }
-    observe_speed(vm, step, active, *tracked, now);
     if (active.percent > tracked->percent || !tracked->seen_active) {
         tracked->progressed_at = now;
     }
-    if (!std::exchange(tracked->seen_active, true)) {
-        tracked->first_percent = active.percent;
-    }
+    tracked->seen_active = true;
     tracked->percent = active.percent;
-    tracked->listed_at = now;
     if (!active.checkpoint.empty()) {
         task->progress.checkpoint = active.checkpoint;
     }
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -118,8 +118,7 @@
     move_from_draining(now);
     if (now >= moves_considered_at_ + settings_.move_interval) {
         moves_considered_at_ = now;
-        compare_speeds(now);
-        move_slow(now);
+        move_standing(now);
     }
     start_waiting(now, wall_ms);
 }
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -11,8 +11,6 @@
 /// Penalties in units of a whole VM's processor time, in the order in which they matter.
 constexpr double disliked_penalty = 50.0;
 constexpr double avoided_penalty = 20.0;
-/// A VM that stands still costs no more than one on which the task has failed.
-constexpr double smallest_speed = 0.04;
 /// Below the penalty of a VM that fails its tasks: remote data only slows a task down.
 constexpr double remote_rack_penalty = 2.0;
 /// A serving task prefers a VM that others fill to none, but any without them to it.
@@ -30,8 +28,6 @@
 /// A task that fills waits rather than work slower than this: at half their speed, jobs just meet
 /// the usual objective of twice their longest chain.
 constexpr double slowest_start = 0.6;
-/// Cost of a task for each further time that it takes on a VM that works slowly.
-constexpr double slow_vm_penalty = 2.0;
 /// Loss of headroom that is too small to matter; as `latency_guard_settings`.
 constexpr double negligible_loss = 0.1;
 
@@ -60,7 +56,6 @@
     if (vm.avoided_until > now) {
         cost += avoided_penalty;
     }
-    cost += slow_vm_penalty * (1.0 / std::max(vm.relative_speed, smallest_speed) - 1.0);
     if (!request.step->preferred_rack.empty() && vm.runner.rack != request.step->preferred_rack) {
         cost += remote_rack_penalty;
     }
@@ -129,7 +124,7 @@
     const double need =
         static_cast<double>(std::max<std::int64_t>(request.step->need.cpu_millicores, 1));
     const double wanted = static_cast<double>(vm.filling_millicores) + need;
-    double speed = vm.relative_speed * std::min(1.0, fillable_room(vm) / wanted);
+    double speed = std::min(1.0, fillable_room(vm) / wanted);
     for (const serving_group& group : vm.serving) {
         const double slope = request.pressures == nullptr
                                  ? pressure_model_settings{}.prior_slope
@@ -176,7 +171,7 @@
         return false;
     }
     if (step.fills_idle_cpu && !request.accept_slow &&
-        (vm.filling_millicores > 0 || vm.serving_millicores > 0 || vm.relative_speed < 1.0) &&
+        (vm.filling_millicores > 0 || vm.serving_millicores > 0) &&
         expected_speed(vm, request) < slowest_start) {
         return false;
     }
