cli: state of a job entry and why a job waits

Cause: `egretstile` read the former entry's state only; an operator could not see who leads, which configuration the entries have, or what a job waits for.

Change: job entries serve /v1/state and /v1/jobs/ID beside the metrics; entries tell the leader their configuration with each ping, so its state names the oldest one in force. What keeps a VM from a task is an enum that placement itself uses, so the explanation cannot differ from the decision.

Measured: tests of the explanation (core), of the pages (daemon) and of the commands' parsing pass; not tried against a running deployment.

--- a/packages/cli/source/command/invocation.cpp
+++ b/packages/cli/source/command/invocation.cpp
@@ -28,6 +28,8 @@
         "operators' port of any entry")("callers",
                                         options::value<std::string>()->value_name("HOST:PORT"),
                                         "callers' port of any entry")(
+        "job-entry", options::value<std::string>()->value_name("HOST:PORT"),
+        "metrics port of a job entry on the organisation's platform")(
         "token-file", options::value<std::string>()->value_name("FILE"),
         "file with the operators' token")(
         "output", options::value<std::string>()->value_name("table|json")->default_value("table"),
@@ -208,11 +210,26 @@
     return task;
 }
 
+/// Option with the address of the server that a command asks.
+std::string option_of(command_target target) {
+    switch (target) {
+    case command_target::operators:
+        return "entry";
+    case command_target::callers:
+        return "callers";
+    case command_target::job_entry:
+        return "job-entry";
+    case command_target::local:
+        break;
+    }
+    return "";
+}
+
 server_address server_of(const options::variables_map& values, const command_info& command) {
     if (command.target == command_target::local) {
         return {};
     }
-    const std::string option = command.target == command_target::operators ? "entry" : "callers";
+    const std::string option = option_of(command.target);
     if (values.count(option) == 0) {
         throw argument_error{"--" + option + " HOST:PORT is missing"};
     }
@@ -305,7 +322,13 @@
          "print the traces of a trace file as trees", "egretstile trace entry-trace.jsonl"},
         {command_id::logs, "logs", "FILE...", command_target::local,
          "join the logs of several processes into one timeline",
-         "egretstile logs edge-1.log edge-2.log --job 5a4db88cbe76905b"}};
+         "egretstile logs edge-1.log edge-2.log --job 5a4db88cbe76905b"},
+        {command_id::job_state, "job-state", "", command_target::job_entry,
+         "show leader, configuration, queues and VMs as a job entry knows them",
+         "egretstile --job-entry 10.1.0.13:9464 job-state"},
+        {command_id::job_explain, "job-explain", "ID", command_target::job_entry,
+         "show where a job runs and what it waits for; asks the leader's entry",
+         "egretstile --job-entry 10.1.0.13:9464 job-explain 5a4db88cbe76905b"}};
     return commands;
 }
 
--- a/packages/cli/source/command/invocation.hpp
+++ b/packages/cli/source/command/invocation.hpp
@@ -33,11 +33,13 @@
     upstream_drain,
     upstream_undrain,
     trace,
-    logs
+    logs,
+    job_state,
+    job_explain
 };
 
 /// Which settings a command needs.
-enum class command_target : std::uint8_t { local, operators, callers };
+enum class command_target : std::uint8_t { local, operators, callers, job_entry };
 
 /// A command as it stands on the command line.
 struct command_info {
--- a/packages/cli/source/command/run.cpp
+++ b/packages/cli/source/command/run.cpp
@@ -90,6 +90,12 @@
         request.method = "POST";
         request.path = "/v1/upstreams/" + operand + "/undrain";
         break;
+    case command_id::job_state:
+        request.path = "/v1/state";
+        break;
+    case command_id::job_explain:
+        request.path = "/v1/jobs/" + operand;
+        break;
     default:
         request.path = "/v1/status";
         break;
--- /dev/null
+++ b/packages/core/include/egretstile/core/job/job_explanation.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <egretstile/core/base/name_table.hpp>
+#include <egretstile/core/job/job_progress.hpp>
+#include <egretstile/core/job/job_spec.hpp>
+#include <egretstile/core/job/task_placer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace egretstile {
+
+/// Why the tasks of a step that have no run do not start.
+enum class step_wait : std::uint8_t {
+    nothing,       ///< No task waits.
+    due_time,      ///< The occurrence's time has not come.
+    earlier_steps, ///< Steps before it are not done.
+    unseen_runs,   ///< A silent VM may still run tasks of an earlier leader.
+    retry_pause,   ///< After a failure or a refusal.
+    gang_members,  ///< Members of the gang's last run have not ended.
+    room           ///< No VM may take the next task; see the obstacles.
+};
+
+inline constexpr std::array<enum_name<step_wait>, 7> step_wait_names{
+    {{step_wait::nothing, "nothing"},
+     {step_wait::due_time, "due_time"},
+     {step_wait::earlier_steps, "earlier_steps"},
+     {step_wait::unseen_runs, "unseen_runs"},
+     {step_wait::retry_pause, "retry_pause"},
+     {step_wait::gang_members, "gang_members"},
+     {step_wait::room, "room"}}};
+
+struct running_task {
+    task_ref task;
+    attempt_number attempt{0};
+    vm_name vm;
+    std::uint32_t percent{0};
+    bool stopping{false};
+};
+
+struct step_explanation {
+    std::uint32_t occurrence{0};
+    std::uint32_t step{0};
+    std::size_t tasks{0};
+    std::size_t done{0};
+    std::size_t waiting{0};
+    std::vector<running_task> running;
+    step_wait waits_for{step_wait::nothing};
+    /// VMs by what keeps them from taking the next waiting task.
+    std::map<placement_obstacle, std::size_t> obstacles;
+};
+
+/// Where a job stands, for people.
+struct job_explanation {
+    job_state state{job_state::queued};
+    std::string queue;
+    std::uint32_t priority{0};
+    std::vector<step_explanation> steps;
+};
+
+} // namespace egretstile
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/job/decision.hpp>
+#include <egretstile/core/job/job_explanation.hpp>
 #include <egretstile/core/job/job_table.hpp>
 #include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/job/task_placer.hpp>
@@ -122,6 +123,10 @@
 
     std::size_t pending(const std::string& queue) const { return jobs_.pending(queue); }
 
+    /// Where the job stands and what its steps wait for; nothing when it is not known.
+    std::optional<job_explanation> explain(const job_id& id, boot_time now,
+                                           std::int64_t wall_ms) const;
+
     std::size_t job_count() const { return jobs_.size(); }
 
     const vm_table& vms() const { return vms_; }
@@ -145,6 +150,11 @@
         task_ref task;
     };
 
+    step_explanation explain_step(const job_entry& job, std::uint32_t occurrence,
+                                  std::uint32_t step, boot_time now, std::int64_t wall_ms) const;
+    /// Why the task, which has no run, does not start.
+    step_wait wait_of(const job_entry& job, const task_ref& next, boot_time now,
+                      std::int64_t wall_ms) const;
     void take_ends(vm_state& vm, const vm_report& report, boot_time now);
     void take_end(vm_state& vm, const ended_run& end, boot_time now);
     void take_failure(vm_state& vm, job_entry& job, const ended_run& end, boot_time now);
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/interference/pressure_model.hpp>
 #include <egretstile/core/job/job_table.hpp>
 #include <egretstile/core/job/vm_table.hpp>
 
+#include <array>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,6 +72,34 @@
 /// Whether the VM has the label; each has the empty one. Thread-safe.
 bool has_label(const vm_state& vm, const std::string& label);
 
+/// What keeps a VM from taking a task.
+enum class placement_obstacle : std::uint8_t {
+    none,
+    not_ready,     ///< Its agent is silent, or its runner drains or is gone.
+    other_service, ///< Its runner belongs to another service.
+    closed_domain, ///< Its failure domain is out of service.
+    excluded,      ///< It runs the task already, or is on another rack than wanted.
+    no_label,
+    no_room,
+    too_slow,    ///< The task fills, and would hardly get on beside what runs there.
+    limit_per_vm ///< As many tasks of the step as may run on one VM.
+};
+
+inline constexpr std::array<enum_name<placement_obstacle>, 9> placement_obstacle_names{
+    {{placement_obstacle::none, "none"},
+     {placement_obstacle::not_ready, "not_ready"},
+     {placement_obstacle::other_service, "other_service"},
+     {placement_obstacle::closed_domain, "closed_domain"},
+     {placement_obstacle::excluded, "excluded"},
+     {placement_obstacle::no_label, "no_label"},
+     {placement_obstacle::no_room, "no_room"},
+     {placement_obstacle::too_slow, "too_slow"},
+     {placement_obstacle::limit_per_vm, "limit_per_vm"}}};
+
+/// Thread-safe.
+placement_obstacle obstacle_of(const vm_state& vm, const placement_request& request,
+                               const std::set<failure_domain_name>& closed_domains);
+
 /// Whether the VM may take the task: it is ready, in service, has the label and the room, and does
 /// not exceed the step's limit of tasks on one VM. Thread-safe.
 bool may_take(const vm_state& vm, const placement_request& request,
--- /dev/null
+++ b/packages/core/source/job/job_scheduler_explanation.cpp
@@ -0,0 +1,79 @@
+#include <egretstile/core/job/job_scheduler.hpp>
+
+#include <utility>
+
+namespace egretstile {
+
+std::optional<job_explanation> job_scheduler::explain(const job_id& id, boot_time now,
+                                                      std::int64_t wall_ms) const {
+    const job_entry* const job = jobs_.find(id);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    job_explanation result;
+    result.state = job->state;
+    result.queue = job->spec.queue;
+    result.priority = job->policy.priority;
+    for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job->occurrences[k].steps.size(); ++s) {
+            result.steps.push_back(explain_step(*job, k, s, now, wall_ms));
+        }
+    }
+    return result;
+}
+
+step_explanation job_scheduler::explain_step(const job_entry& job, std::uint32_t occurrence,
+                                             std::uint32_t step, boot_time now,
+                                             std::int64_t wall_ms) const {
+    const step_state& state = job.occurrences[occurrence].steps[step];
+    step_explanation result;
+    result.occurrence = occurrence;
+    result.step = step;
+    result.tasks = state.tasks.size();
+    result.done = state.done_count;
+    result.waiting = state.waiting.size();
+    for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+        const task_ref task{job.spec.id, occurrence, step, index};
+        for (const tracked_run& run : state.tasks[index].runs) {
+            result.running.push_back({task, run.attempt, run.vm, run.percent, run.stopping});
+        }
+    }
+    if (state.waiting.empty() || is_final(job.state)) {
+        return result;
+    }
+    const task_ref next{job.spec.id, occurrence, step, *state.waiting.begin()};
+    result.waits_for = wait_of(job, next, now, wall_ms);
+    if (result.waits_for == step_wait::room) {
+        placement_request request;
+        request.job = &job;
+        request.step = &job.spec.steps[step];
+        request.task = next;
+        request.pressures = &pressures_;
+        for (const auto& [name, vm] : vms_) {
+            ++result.obstacles[obstacle_of(vm, request, closed_domains_)];
+        }
+    }
+    return result;
+}
+
+step_wait job_scheduler::wait_of(const job_entry& job, const task_ref& next, boot_time now,
+                                 std::int64_t wall_ms) const {
+    const occurrence_state& occurrence = job.occurrences[next.occurrence];
+    const step_state& state = occurrence.steps[next.step];
+    const job_task& task = state.tasks[next.index];
+    if (occurrence.due_ms > wall_ms) {
+        return step_wait::due_time;
+    }
+    if (!is_step_ready(job, occurrence, next.step)) {
+        return step_wait::earlier_steps;
+    }
+    if (may_run_unseen(job, task)) {
+        return step_wait::unseen_runs;
+    }
+    if (job.spec.steps[next.step].gang && state.waiting.size() < state.tasks.size()) {
+        return step_wait::gang_members;
+    }
+    return task.retry_at > now ? step_wait::retry_pause : step_wait::room;
+}
+
+} // namespace egretstile
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -83,6 +83,19 @@
     return cost + reserved_share(vm) + 0.3 * filling_share(vm);
 }
 
+/// Runs of the task's step, of its occurrence, on the VM.
+std::uint32_t count_of_step(const vm_state& vm, const task_ref& task) {
+    const task_ref first{task.job, task.occurrence, task.step, 0};
+    std::uint32_t count = 0;
+    for (auto run = vm.runs.lower_bound({first, 0});
+         run != vm.runs.end() && run->first.task.job == first.job &&
+         run->first.task.occurrence == first.occurrence && run->first.task.step == first.step;
+         ++run) {
+        ++count;
+    }
+    return count;
+}
+
 template <typename Cost>
 vm_state* cheapest(const placement_request& request, vm_table& vms,
                    const std::set<failure_domain_name>& closed_domains, Cost cost_of) {
@@ -157,39 +170,41 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool may_take(const vm_state& vm, const placement_request& request,
-              const std::set<failure_domain_name>& closed_domains) {
+placement_obstacle obstacle_of(const vm_state& vm, const placement_request& request,
+                               const std::set<failure_domain_name>& closed_domains) {
     const step_spec& step = *request.step;
-    if (!vm.usable || vm.runner.state != runner_state::ready ||
-        vm.runner.service != request.job->policy.service ||
-        closed_domains.count(vm.runner.failure_domain) != 0 ||
-        request.excluded.count(vm.name) != 0 ||
+    if (!vm.usable || vm.runner.state != runner_state::ready) {
+        return placement_obstacle::not_ready;
+    }
+    if (vm.runner.service != request.job->policy.service) {
+        return placement_obstacle::other_service;
+    }
+    if (closed_domains.count(vm.runner.failure_domain) != 0) {
+        return placement_obstacle::closed_domain;
+    }
+    if (request.excluded.count(vm.name) != 0 ||
         (!request.rack.empty() && vm.runner.rack != request.rack)) {
-        return false;
+        return placement_obstacle::excluded;
+    }
+    if (!has_label(vm, step.required_label)) {
+        return placement_obstacle::no_label;
     }
     if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
-        return false;
+        return placement_obstacle::no_room;
     }
     if (step.fills_idle_cpu && !request.accept_slow &&
         (vm.filling_millicores > 0 || vm.serving_millicores > 0) &&
         expected_speed(vm, request) < slowest_start) {
-        return false;
-    }
-    if (!has_label(vm, step.required_label)) {
-        return false;
-    }
-    if (step.max_per_vm == 0) {
-        return true;
+        return placement_obstacle::too_slow;
     }
-    const task_ref first{request.task.job, request.task.occurrence, request.task.step, 0};
-    std::uint32_t beside = 0;
-    for (auto run = vm.runs.lower_bound({first, 0});
-         run != vm.runs.end() && run->first.task.job == first.job &&
-         run->first.task.occurrence == first.occurrence && run->first.task.step == first.step;
-         ++run) {
-        ++beside;
-    }
-    return beside < step.max_per_vm;
+    return step.max_per_vm > 0 && count_of_step(vm, request.task) >= step.max_per_vm
+               ? placement_obstacle::limit_per_vm
+               : placement_obstacle::none;
+}
+
+bool may_take(const vm_state& vm, const placement_request& request,
+              const std::set<failure_domain_name>& closed_domains) {
+    return obstacle_of(vm, request, closed_domains) == placement_obstacle::none;
 }
 
 } // namespace egretstile
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -1,7 +1,7 @@
 #include "jobs/job_agent_process.hpp"
 
 #include "jobs/metered_store.hpp"
-#include "telemetry/metrics_server.hpp"
+#include "net/operations_server.hpp"
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
@@ -63,10 +63,14 @@
                      [this](http_request&& request, const http_server::responder& respond) {
                          take_registration(request, respond);
                      })
-    , metrics_server_(serve_metrics(loop_, settings_.common, [this] {
-        metrics_.set_state(present_state());
-        return metrics_.registry().text();
-    })) {}
+    , operations_server_(serve_operations(
+          loop_, settings_.common, [this](const std::string& path) -> std::optional<std::string> {
+              if (path != metrics_path) {
+                  return std::nullopt;
+              }
+              metrics_.set_state(present_state());
+              return metrics_.registry().text();
+          })) {}
 
 void job_agent_process::run() {
     control_.start();
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -33,6 +33,7 @@
     /// Runs until the process has stopped.
     void run();
     void request_stop();
+
     /// Calls `function` at this interval while the process runs. Precondition: before `run`.
     void call_every(milliseconds interval, std::function<void()> function) {
         loop_.call_every(interval, std::move(function));
@@ -84,8 +85,8 @@
     leader_link link_;
     control_view control_;
     http_server registrations_;
-    /// Null when no metrics are served.
-    std::unique_ptr<http_server> metrics_server_;
+    /// Null when the settings name no port for it.
+    std::unique_ptr<http_server> operations_server_;
     std::string runner_id_;
     std::int64_t runner_born_ms_{0};
     std::uint64_t heartbeat_sequence_{0};
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -1,7 +1,7 @@
 #include "jobs/job_entry_process.hpp"
 
 #include "jobs/metered_store.hpp"
-#include "telemetry/metrics_server.hpp"
+#include "net/operations_server.hpp"
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
@@ -24,6 +24,12 @@
 /// After the stop signal new connections still come until the balancer has asked twice.
 constexpr milliseconds balancer_delay{2600};
 constexpr milliseconds stop_poll{50};
+/// An entry that has not asked the leader for this long has gone, or follows another.
+constexpr milliseconds entry_memory{5000};
+
+/// Pages for operators beside the metrics.
+const std::string state_path = "/v1/state";
+const std::string jobs_path = "/v1/jobs/";
 
 } // namespace
 
@@ -57,17 +63,15 @@
                  [this](http_request&& request, const http_server::responder& respond) {
                      answer_readiness(request, respond);
                  })
-    , metrics_server_(serve_metrics(loop_, settings_.common, [this] {
-        metrics_.set_state(present_state());
-        return metrics_.registry().text();
-    })) {}
+    , operations_server_(serve_operations(
+          loop_, settings_.common, [this](const std::string& path) { return page_of(path); })) {}
 
 void job_entry_process::run() {
     operators_.start();
     control_.start();
     loop_.call_every(ping_interval, [this] {
         if (leader_ == nullptr) {
-            link_.send(wire::leader_ping{++pings_});
+            link_.send(wire::leader_ping{++pings_, config_version()});
         }
     });
     write_log(log_part::process, log_level::info, "The entry has started.",
@@ -182,6 +186,9 @@
                          });
         return;
     }
+    if (const wire::leader_ping* const ping = std::get_if<wire::leader_ping>(&message)) {
+        entries_[connection.peer().name] = {ping->config_version, boot_now()};
+    }
     if (std::optional<wire::message> answer = answer_entry(*leader_, message)) {
         connection.send(*answer);
     }
@@ -202,6 +209,54 @@
     respond(std::move(response));
 }
 
+std::optional<std::string> job_entry_process::page_of(const std::string& path) {
+    if (path == metrics_path) {
+        metrics_.set_state(present_state());
+        return metrics_.registry().text();
+    }
+    if (path == state_path) {
+        const job_scheduler* const scheduler = leader_ == nullptr ? nullptr : &leader_->scheduler();
+        return describe_deployment(deployment(),
+                                   operators_.config() ? &*operators_.config() : nullptr, scheduler,
+                                   boot_now());
+    }
+    if (path.compare(0, jobs_path.size(), jobs_path) == 0 && leader_ != nullptr) {
+        const job_id id = path.substr(jobs_path.size());
+        if (const std::optional<job_explanation> job =
+                leader_->scheduler().explain(id, boot_now(), wall_now_ms())) {
+            return describe_job(id, *job);
+        }
+    }
+    return std::nullopt;
+}
+
+deployment_state job_entry_process::deployment() const {
+    deployment_state state;
+    state.entry = settings_.common.vm;
+    if (const std::optional<leader_record>& leader = control_.leader()) {
+        state.leader = leader->name;
+        state.epoch = leader->epoch;
+    }
+    state.config_version = config_version();
+    if (const std::optional<boot_time> confirmed = operators_.confirmed_at()) {
+        state.config_age_ms =
+            std::chrono::duration_cast<milliseconds>(boot_now() - *confirmed).count();
+    }
+    state.closed_domains = operators_.closed_domains();
+    for (const auto& [name, heard] : entries_) {
+        const milliseconds age =
+            std::chrono::duration_cast<milliseconds>(boot_now() - heard.second);
+        if (age <= entry_memory) {
+            state.entries.push_back({name, heard.first, age.count()});
+        }
+    }
+    return state;
+}
+
+std::uint64_t job_entry_process::config_version() const {
+    return operators_.config() ? operators_.config()->version : 0;
+}
+
 job_entry_state job_entry_process::present_state() const {
     job_entry_state state;
     if (leader_ != nullptr) {
@@ -211,9 +266,7 @@
         state.unfinished_jobs = scheduler.jobs().unfinished().size();
         state.vms = scheduler.vms().size();
     }
-    if (operators_.config()) {
-        state.config_version = operators_.config()->version;
-    }
+    state.config_version = config_version();
     if (const std::optional<boot_time> confirmed = operators_.confirmed_at()) {
         state.config_age_seconds = std::chrono::duration<double>(boot_now() - *confirmed).count();
     }
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -7,6 +7,7 @@
 #include "jobs/leader_election.hpp"
 #include "jobs/leader_link.hpp"
 #include "jobs/operator_view.hpp"
+#include "jobs/state_page.hpp"
 #include "net/frame_server.hpp"
 #include "settings/job_settings.hpp"
 
@@ -37,6 +38,7 @@
     /// Runs until the process has stopped.
     void run();
     void request_stop();
+
     /// Calls `function` at this interval while the process runs. Precondition: before `run`.
     void call_every(milliseconds interval, std::function<void()> function) {
         loop_.call_every(interval, std::move(function));
@@ -54,6 +56,9 @@
     bool send_to_agent(const vm_name& name, const wire::message& message);
     void answer_readiness(const http_request& request, const http_server::responder& respond) const;
     job_entry_state present_state() const;
+    deployment_state deployment() const;
+    std::uint64_t config_version() const;
+    std::optional<std::string> page_of(const std::string& path);
     void begin_stop();
     void continue_stop();
 
@@ -69,6 +74,8 @@
     std::unique_ptr<infrastructure::coordination_store> store_;
     /// Agents by VM; the newest connection counts.
     std::map<vm_name, std::weak_ptr<frame_connection>> agents_;
+    /// Configuration and last ping of each entry that follows this leader.
+    std::map<std::string, std::pair<std::uint64_t, boot_time>> entries_;
     std::unique_ptr<frame_server> peer_server_;
     leader_link link_;
     leader_access access_;
@@ -79,8 +86,8 @@
     job_front front_;
     http_server callers_;
     http_server readiness_;
-    /// Null when no metrics are served.
-    std::unique_ptr<http_server> metrics_server_;
+    /// Null when the settings name no port for it.
+    std::unique_ptr<http_server> operations_server_;
     std::uint64_t pings_{0};
     bool stopping_{false};
     boot_time stop_at_{};
--- /dev/null
+++ b/packages/daemon/source/net/operations_server.cpp
@@ -0,0 +1,51 @@
+#include "net/operations_server.hpp"
+
+#include <egretstile/runtime/telemetry/log.hpp>
+
+#include <Poco/Exception.h>
+
+#include <utility>
+
+namespace egretstile::daemon {
+
+namespace {
+
+/// Scrapers and operators keep one connection each.
+constexpr std::size_t max_readers = 8;
+
+http_response respond_to(const http_request& request, const operations_pages& pages) {
+    http_response response;
+    const std::optional<std::string> text =
+        request.method == "GET" ? pages(request.path) : std::nullopt;
+    response.status = text ? 200 : 404;
+    response.headers["Content-Type"] =
+        request.path == metrics_path ? "text/plain; version=0.0.4" : "application/json";
+    response.body = text.value_or("{\"error\":\"not found\"}");
+    return response;
+}
+
+} // namespace
+
+std::unique_ptr<http_server> serve_operations(event_loop& loop, const job_common_settings& settings,
+                                              operations_pages pages) {
+    if (settings.metrics_port == 0) {
+        return nullptr;
+    }
+    http_server::limits limits;
+    limits.max_connections = max_readers;
+    try {
+        return std::make_unique<http_server>(
+            loop, endpoint{settings.host, settings.metrics_port}, limits,
+            [pages = std::move(pages)](http_request&& request,
+                                       const http_server::responder& respond) {
+                respond(respond_to(request, pages));
+            });
+    } catch (const Poco::Exception& error) {
+        write_log(log_part::process, log_level::warning, "Serves no metrics.",
+                  "port=" + std::to_string(settings.metrics_port) + " reason=\"" +
+                      error.displayText() + "\"");
+        return nullptr;
+    }
+}
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/source/net/operations_server.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "settings/job_settings.hpp"
+
+#include <egretstile/runtime/http/http_server.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace egretstile::daemon {
+
+/// Text of a page by its path; nothing when there is no such page.
+using operations_pages = std::function<std::optional<std::string>(const std::string& path)>;
+
+/// Path of the metrics in Prometheus's text format; other pages are JSON.
+inline constexpr const char* metrics_path = "/metrics";
+
+/// Serves pages for operators and their monitoring on the metrics port of the settings; null when
+/// the settings name none. A port that cannot be bound is logged: a process works without. For the
+/// event loop's thread only.
+std::unique_ptr<http_server> serve_operations(event_loop& loop, const job_common_settings& settings,
+                                              operations_pages pages);
+
+} // namespace egretstile::daemon
--- /dev/null
+++ b/packages/daemon/tests/jobs/state_page_test.cpp
@@ -0,0 +1,75 @@
+#include "jobs/state_page.hpp"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+namespace egretstile::daemon {
+namespace {
+
+Poco::JSON::Object::Ptr parsed(const std::string& text) {
+    Poco::JSON::Parser parser;
+    return parser.parse(text).extract<Poco::JSON::Object::Ptr>();
+}
+
+deployment_state two_entries() {
+    deployment_state state;
+    state.entry = "edge-1";
+    state.leader = "edge-1";
+    state.epoch = 3;
+    state.config_version = 9;
+    state.entries = {{"edge-2", 7, 120}, {"edge-3", 9, 80}};
+    return state;
+}
+
+// Guards against a change that operators take for being in force while an entry still has an older
+// configuration.
+TEST_CASE("the leader's state names the oldest configuration that any entry has in force") {
+    const job_scheduler scheduler({}, 3, std::make_unique<separating_placer>(),
+                                  [](const decision&) {});
+    operator_config config;
+    config.version = 9;
+    config.queues.push_back({"queue", "host", "/prefix/", "service"});
+    const Poco::JSON::Object::Ptr state =
+        parsed(describe_deployment(two_entries(), &config, &scheduler, boot_time()));
+    CHECK(state->getValue<std::uint64_t>("oldest_config_version") == 7);
+    CHECK(state->getArray("entries")->size() == 2);
+    CHECK(state->getArray("queues")->getObject(0)->getValue<std::string>("name") == "queue");
+}
+
+// Guards against an entry that shows an empty deployment because it does not lead.
+TEST_CASE("the state of an entry that does not lead names the leader and no jobs") {
+    const Poco::JSON::Object::Ptr state =
+        parsed(describe_deployment(two_entries(), nullptr, nullptr, boot_time()));
+    CHECK(state->getValue<std::string>("leader") == "edge-1");
+    CHECK_FALSE(state->has("jobs"));
+    CHECK_FALSE(state->has("vms"));
+}
+
+// Guards against an explanation that scripts cannot read.
+TEST_CASE("the explanation of a job lists its steps, runs and obstacles by name") {
+    job_explanation job;
+    job.state = job_state::running;
+    job.queue = "queue";
+    step_explanation step;
+    step.step = 1;
+    step.waiting = 2;
+    step.waits_for = step_wait::room;
+    step.obstacles[placement_obstacle::no_room] = 11;
+    step.running.push_back({{"a1", 0, 1, 4}, 2, "side-1", 40, false});
+    job.steps.push_back(step);
+    const Poco::JSON::Object::Ptr page = parsed(describe_job("a1", job));
+    CHECK(page->getValue<std::string>("state") == "running");
+    const Poco::JSON::Object::Ptr shown = page->getArray("steps")->getObject(0);
+    CHECK(shown->getValue<std::string>("step") == "0.1");
+    CHECK(shown->getValue<std::string>("waits_for") == "room");
+    CHECK(shown->getObject("vms_by_obstacle")->getValue<int>("no_room") == 11);
+    CHECK(shown->getArray("running")->getObject(0)->getValue<std::string>("task") == "a1.0.1.4");
+}
+
+} // namespace
+} // namespace egretstile::daemon
--- a/packages/wire/include/egretstile/wire/message/messages.hpp
+++ b/packages/wire/include/egretstile/wire/message/messages.hpp
@@ -221,6 +221,8 @@
 /// From an entry to the leader, which answers with `leader_pong`: shows that the connection works.
 struct leader_ping {
     std::uint64_t number{0};
+    /// Operators' configuration in force at the entry; zero: none yet.
+    std::uint64_t config_version{0};
 };
 
 struct leader_pong {
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -284,7 +284,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, leader_ping& value) {
-    archive(value.number);
+    archive(value.number, value.config_version);
 }
 
 template <typename Archive>
