jobs: say who leads when asked for a job, and log a store that was never reached

Cause: tried against a running entry without a store: job-explain said "not found" without a reason, and the log of an entry that never reached the store held no word of it, because only a lost connection was logged.

Change: an entry that does not lead answers with the leader's name; the first failed listing is logged.

--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -63,14 +63,15 @@
                      [this](http_request&& request, const http_server::responder& respond) {
                          take_registration(request, respond);
                      })
-    , operations_server_(serve_operations(
-          loop_, settings_.common, [this](const std::string& path) -> std::optional<std::string> {
-              if (path != metrics_path) {
-                  return std::nullopt;
-              }
-              metrics_.set_state(present_state());
-              return metrics_.registry().text();
-          })) {}
+    , operations_server_(
+          serve_operations(loop_, settings_.common,
+                           [this](const std::string& path) -> std::optional<operations_page> {
+                               if (path != metrics_path) {
+                                   return std::nullopt;
+                               }
+                               metrics_.set_state(present_state());
+                               return operations_page{200, metrics_.registry().text()};
+                           })) {}
 
 void job_agent_process::run() {
     control_.start();
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -1,7 +1,6 @@
 #include "jobs/job_entry_process.hpp"
 
 #include "jobs/metered_store.hpp"
-#include "net/operations_server.hpp"
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
@@ -209,27 +208,36 @@
     respond(std::move(response));
 }
 
-std::optional<std::string> job_entry_process::page_of(const std::string& path) {
+std::optional<operations_page> job_entry_process::page_of(const std::string& path) {
     if (path == metrics_path) {
         metrics_.set_state(present_state());
-        return metrics_.registry().text();
+        return operations_page{200, metrics_.registry().text()};
     }
     if (path == state_path) {
+        const operator_config* const config = operators_.config() ? &*operators_.config() : nullptr;
         const job_scheduler* const scheduler = leader_ == nullptr ? nullptr : &leader_->scheduler();
-        return describe_deployment(deployment(),
-                                   operators_.config() ? &*operators_.config() : nullptr, scheduler,
-                                   boot_now());
+        return operations_page{200,
+                               describe_deployment(deployment(), config, scheduler, boot_now())};
     }
-    if (path.compare(0, jobs_path.size(), jobs_path) == 0 && leader_ != nullptr) {
-        const job_id id = path.substr(jobs_path.size());
-        if (const std::optional<job_explanation> job =
-                leader_->scheduler().explain(id, boot_now(), wall_now_ms())) {
-            return describe_job(id, *job);
-        }
+    if (path.compare(0, jobs_path.size(), jobs_path) == 0) {
+        return job_page(path.substr(jobs_path.size()));
     }
     return std::nullopt;
 }
 
+operations_page job_entry_process::job_page(const job_id& id) const {
+    if (leader_ == nullptr) {
+        const std::string leader = control_.leader() ? control_.leader()->name : "nobody";
+        return {404, "{\"error\":\"this entry does not lead; leader: " + leader + "\"}"};
+    }
+    const std::optional<job_explanation> job =
+        leader_->scheduler().explain(id, boot_now(), wall_now_ms());
+    if (!job) {
+        return {404, "{\"error\":\"the leader does not know this job\"}"};
+    }
+    return {200, describe_job(id, *job)};
+}
+
 deployment_state job_entry_process::deployment() const {
     deployment_state state;
     state.entry = settings_.common.vm;
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -9,6 +9,7 @@
 #include "jobs/operator_view.hpp"
 #include "jobs/state_page.hpp"
 #include "net/frame_server.hpp"
+#include "net/operations_server.hpp"
 #include "settings/job_settings.hpp"
 
 #include <egretstile/runtime/http/http_server.hpp>
@@ -58,7 +59,8 @@
     job_entry_state present_state() const;
     deployment_state deployment() const;
     std::uint64_t config_version() const;
-    std::optional<std::string> page_of(const std::string& path);
+    std::optional<operations_page> page_of(const std::string& path);
+    operations_page job_page(const job_id& id) const;
     void begin_stop();
     void continue_stop();
 
--- a/packages/daemon/source/jobs/prefix_view.cpp
+++ b/packages/daemon/source/jobs/prefix_view.cpp
@@ -123,8 +123,10 @@
 }
 
 void prefix_view::retry_later(store_error error, std::uint64_t round) {
-    if (std::exchange(connected_, false)) {
-        write_log(log_part::store, log_level::warning, "Lost sight of the stored keys.",
+    const bool was_connected = std::exchange(connected_, false);
+    if (was_connected || !std::exchange(failure_noted_, true)) {
+        write_log(log_part::store, log_level::warning,
+                  was_connected ? "Lost sight of the stored keys." : "Cannot read the stored keys.",
                   "prefix=" + prefix_ +
                       " reason=" + std::string(name_of(store_error_names, error)));
     }
--- a/packages/daemon/source/jobs/prefix_view.hpp
+++ b/packages/daemon/source/jobs/prefix_view.hpp
@@ -64,6 +64,8 @@
     revision_number watched_to_{0};
     std::optional<boot_time> confirmed_at_;
     bool connected_{false};
+    /// The log says that the first listing failed.
+    bool failure_noted_{false};
     /// Answers of earlier rounds are ignored.
     std::uint64_t round_{0};
     /// Answers after the destruction find it expired.
--- a/packages/daemon/source/net/operations_server.cpp
+++ b/packages/daemon/source/net/operations_server.cpp
@@ -14,13 +14,14 @@
 constexpr std::size_t max_readers = 8;
 
 http_response respond_to(const http_request& request, const operations_pages& pages) {
+    const operations_page missing{404, "{\"error\":\"not found\"}"};
+    const operations_page page =
+        request.method == "GET" ? pages(request.path).value_or(missing) : missing;
     http_response response;
-    const std::optional<std::string> text =
-        request.method == "GET" ? pages(request.path) : std::nullopt;
-    response.status = text ? 200 : 404;
+    response.status = page.status;
     response.headers["Content-Type"] =
         request.path == metrics_path ? "text/plain; version=0.0.4" : "application/json";
-    response.body = text.value_or("{\"error\":\"not found\"}");
+    response.body = page.text;
     return response;
 }
 
--- a/packages/daemon/source/net/operations_server.hpp
+++ b/packages/daemon/source/net/operations_server.hpp
@@ -11,8 +11,14 @@
 
 namespace egretstile::daemon {
 
-/// Text of a page by its path; nothing when there is no such page.
-using operations_pages = std::function<std::optional<std::string>(const std::string& path)>;
+struct operations_page {
+    /// HTTP status.
+    int status{200};
+    std::string text;
+};
+
+/// A page by its path; nothing when there is no such page.
+using operations_pages = std::function<std::optional<operations_page>(const std::string& path)>;
 
 /// Path of the metrics in Prometheus's text format; other pages are JSON.
 inline constexpr const char* metrics_path = "/metrics";
