--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -85,11 +85,13 @@
         }
     }
     std::vector<std::pair<std::int64_t, std::string>> sorted;
+    sorted.reserve(room.size());
     for (const auto& [rack, millicores] : room) {
         sorted.emplace_back(-millicores, rack);
     }
     std::sort(sorted.begin(), sorted.end());
     std::vector<std::string> racks;
+    racks.reserve(sorted.size() + 1);
     for (const auto& [millicores, rack] : sorted) {
         racks.push_back(rack);
     }
--- a/packages/core/tests/interference/interference_controller_test.cpp
+++ b/packages/core/tests/interference/interference_controller_test.cpp
@@ -145,7 +145,7 @@
     CHECK(vm.evicted().size() == 1);
 }
 
-// Guards against a setting without effect: a subsidiary that values throughput must see fewer
+// Guards against a setting without effect: a workspace that values throughput must see fewer
 // evictions and later throttles.
 TEST_CASE("the tail weight decides between tail and throughput") {
     interference_settings tail;
