core, daemon: start no task when a failure domain may have been closed unseen

Cause: closed failure domains reached the scheduler only by the leader's own reads of the store. A leader that the store turns away, or that is cut off from it, goes on for up to 10 s and starts tasks in a domain that was closed meanwhile; an order that is held up, or a second try of a start, acts later still.

Change: entries and the leader exchange the closed domains with pings and pongs, each with the revision up to which it is complete and its age; the joined set does not depend on the order. An entry's age counts from the leader's pong that the ping answers, because a ping can be held up.

Ruled out: a read of the store before each start (400 starts a second), and no limit while the store is down for all, which a leader cannot tell from being turned away. So in an outage over 5 s starts pause; they went on for 10 s before.

Measured: the new tests, and the model of leaders, agents and runners with closures, fail when the limit, the agent's check or the exchange is taken out (10 cases in core, 2 in daemon), and pass with them.

--- a/packages/core/include/egretstile/core/job/decision.hpp
+++ b/packages/core/include/egretstile/core/job/decision.hpp
@@ -21,11 +21,13 @@
     job_failed,
     job_cancelled,
     avoid_vm,
-    vm_stays_silent
+    vm_stays_silent,
+    starts_paused,
+    starts_resumed
 };
 
 /// Names in metrics.
-inline constexpr std::array<enum_name<decision_kind>, 12> decision_kind_names{
+inline constexpr std::array<enum_name<decision_kind>, 14> decision_kind_names{
     {{decision_kind::start_task, "start_task"},
      {decision_kind::step_waits, "step_waits"},
      {decision_kind::move_task, "move_task"},
@@ -37,10 +39,12 @@
      {decision_kind::job_failed, "job_failed"},
      {decision_kind::job_cancelled, "job_cancelled"},
      {decision_kind::avoid_vm, "avoid_vm"},
-     {decision_kind::vm_stays_silent, "vm_stays_silent"}}};
+     {decision_kind::vm_stays_silent, "vm_stays_silent"},
+     {decision_kind::starts_paused, "starts_paused"},
+     {decision_kind::starts_resumed, "starts_resumed"}}};
 
 /// Log messages. The command `egretstile logs` matches the beginnings of some of them.
-inline constexpr std::array<enum_name<decision_kind>, 12> decision_messages{
+inline constexpr std::array<enum_name<decision_kind>, 14> decision_messages{
     {{decision_kind::start_task, "Starts a task."},
      {decision_kind::step_waits, "A step waits: no VM has room for its next task."},
      {decision_kind::move_task, "Moves a task that makes no progress."},
@@ -53,7 +57,10 @@
      {decision_kind::job_cancelled, "Cancelled a job."},
      {decision_kind::avoid_vm, "Avoids a VM after repeated failed runs."},
      {decision_kind::vm_stays_silent,
-      "Stopped waiting for a VM of an earlier leader that has not reported."}}};
+      "Stopped waiting for a VM of an earlier leader that has not reported."},
+     {decision_kind::starts_paused,
+      "Starts no tasks: failure domains may have been closed without its knowledge."},
+     {decision_kind::starts_resumed, "Starts tasks: the closed failure domains are confirmed."}}};
 
 /// One log line and one increment of the decision counter.
 struct decision {
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -58,6 +58,9 @@
     milliseconds checkpoint_interval{1000};
     /// Interval between searches for stalled tasks; agents report progress every 500 ms.
     milliseconds move_interval{100};
+    /// A failure domain that was taken out of service must get no task after this time, so no task
+    /// is started when the closed domains were confirmed longer ago.
+    milliseconds closure_age_limit{5000};
 };
 
 /// Decides on the leader which task runs on which VM. Produces orders for agents and progress to be
@@ -76,6 +79,9 @@
     void set_config(const operator_config& config);
     /// Sets the failure domains that are out of service; no task is started in them.
     void set_closed_domains(std::set<failure_domain_name> domains);
+    /// Records that `set_closed_domains` has set every domain that was taken out of service before
+    /// `time`. No task is started before the first call, and after `closure_age_limit` without one.
+    void confirm_closed_domains(boot_time time);
 
     /// Adds an accepted job. Does nothing when the job is already known.
     void add_job(const job_spec& job);
@@ -210,6 +216,10 @@
                              boot_time now);
     /// Marks jobs with new checkpoints of running tasks as changed, so that they are stored.
     void mark_new_checkpoints();
+    /// Until when tasks may be started by the closed domains as they were last confirmed.
+    boot_time starts_allowed_until() const;
+    /// Whether tasks may be started now; reports a change.
+    bool check_starts_allowed(boot_time now);
     void start_waiting_tasks(boot_time now, std::int64_t wall_ms);
     void start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     /// Whether a VM that has not reported may still run the task for an earlier leader.
@@ -257,6 +267,10 @@
     observer observe_;
     operator_config config_;
     std::set<failure_domain_name> closed_domains_;
+    /// Zero until the first confirmation.
+    boot_time closed_domains_confirmed_at_{};
+    /// Whether starts have been reported as paused.
+    bool starts_paused_{false};
     job_table jobs_;
     vm_table vms_;
     /// VMs of earlier leaders that have not reported to this one, and until when they may run
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -30,6 +30,8 @@
 /// A start that the agent has to send to the runner.
 struct pending_start {
     start_order order;
+    /// The start is not sent any more at this time.
+    boot_time not_after{};
     std::uint32_t tries{0};
     bool in_flight{false};
 };
@@ -57,8 +59,9 @@
     /// Applies orders of the leader. False when they are of an earlier epoch and were ignored.
     bool apply_orders(const vm_orders& orders, boot_time now);
 
-    /// Returns the next start to send and marks it as in flight; nothing when there is none.
-    std::optional<start_order> next_start();
+    /// Returns the next start to send and marks it as in flight; nothing when there is none. Starts
+    /// that must not be sent any more are rejected, or stopped when an earlier try had no answer.
+    std::optional<start_order> next_start(boot_time now);
     /// Returns the next stop to send and marks it as in flight; nothing when there is none.
     std::optional<task_attempt> next_stop();
 
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -62,10 +62,11 @@
     /// agent sent that report.
     std::uint64_t answered_report{0};
     std::uint32_t permission_ms{0};
-    /// Last report of this agent that the leader has applied. The agent rejects a start that
-    /// arrives more than `permission_ms` after it sent that report, because the leader may have
-    /// given up the runs on the VM by then.
+    /// Last report of this agent that the leader has applied. The agent rejects a start that it
+    /// would send more than `start_within_ms` after that report: the leader may have given up the
+    /// runs on the VM by then, or the failure domain may have been closed.
     std::uint64_t based_on_report{0};
+    std::uint32_t start_within_ms{0};
     /// Number of messages with starts or stops on this connection, including this one.
     std::uint64_t number{0};
     /// Identifies the runner process that the orders are for; see `runner_registration`.
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -65,8 +65,9 @@
     /// One group for each serving image, as of the last report; `consumed_headroom` is updated with
     /// each start.
     std::vector<serving_group> serving;
-    /// Last report that was applied on this connection.
+    /// Last report that was applied on this connection, and when.
     std::uint64_t last_report{0};
+    boot_time last_report_at{};
     /// Number of the last message with orders on this connection.
     std::uint64_t orders_sent{0};
     /// Number of the last end that was applied, and of the last that the runner may forget.
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -49,6 +49,10 @@
     closed_domains_ = std::move(domains);
 }
 
+void job_scheduler::confirm_closed_domains(boot_time time) {
+    closed_domains_confirmed_at_ = std::max(closed_domains_confirmed_at_, time);
+}
+
 void job_scheduler::add_job(const job_spec& job) {
     if (!has_job(job.id)) {
         jobs_.add(job, find_queue_by_name(config_, job.queue));
@@ -110,6 +114,7 @@
         return false;
     }
     vm.last_report = report.sequence;
+    vm.last_report_at = now;
     vm.may_run_until = now +
                        std::chrono::duration_cast<milliseconds>(settings_.permission_term *
                                                                 (1.0 + settings_.clock_drift)) +
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -120,17 +120,40 @@
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
     give_up_silent_vms(now);
     move_off_draining_vms(now);
-    if (now >= moves_considered_at_ + settings_.move_interval) {
-        moves_considered_at_ = now;
-        move_stalled_tasks(now);
-    }
     if (now >= checkpoints_marked_at_ + settings_.checkpoint_interval) {
         checkpoints_marked_at_ = now;
         mark_new_checkpoints();
     }
+    if (!check_starts_allowed(now)) {
+        return;
+    }
+    if (now >= moves_considered_at_ + settings_.move_interval) {
+        moves_considered_at_ = now;
+        move_stalled_tasks(now);
+    }
     start_waiting_tasks(now, wall_ms);
 }
 
+boot_time job_scheduler::starts_allowed_until() const {
+    return closed_domains_confirmed_at_ == boot_time()
+               ? boot_time()
+               : closed_domains_confirmed_at_ + settings_.closure_age_limit;
+}
+
+bool job_scheduler::check_starts_allowed(boot_time now) {
+    const bool allowed = now < starts_allowed_until();
+    if (starts_paused_ == allowed) {
+        starts_paused_ = !allowed;
+        const std::string age = closed_domains_confirmed_at_ == boot_time()
+                                    ? "never"
+                                    : std::to_string(age_ms(closed_domains_confirmed_at_, now));
+        record_decision(allowed ? decision_kind::starts_resumed : decision_kind::starts_paused,
+                        "closed_domains_age_ms=" + age +
+                            " limit_ms=" + std::to_string(settings_.closure_age_limit.count()));
+    }
+    return allowed;
+}
+
 void job_scheduler::mark_new_checkpoints() {
     for (job_entry* const job : jobs_.unfinished()) {
         if (std::exchange(job->has_new_checkpoint, false)) {
--- a/packages/core/source/job/job_scheduler_orders.cpp
+++ b/packages/core/source/job/job_scheduler_orders.cpp
@@ -1,6 +1,7 @@
 #include <egretstile/core/job/job_scheduler.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace egretstile {
@@ -35,6 +36,12 @@
     }
     vm_state& vm = found->second;
     orders.based_on_report = vm.last_report;
+    // The agent sent that report before it was applied here, so its count of this time ends first.
+    orders.start_within_ms =
+        static_cast<std::uint32_t>(std::clamp(std::chrono::duration_cast<milliseconds>(
+                                                  starts_allowed_until() - vm.last_report_at),
+                                              milliseconds(0), settings_.permission_term)
+                                       .count());
     orders.runner_instance = vm.runner.instance;
     orders.acknowledged_ends = vm.acknowledged_end;
     outbox pending = std::move(outboxes_[name]);
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -89,16 +89,17 @@
         attributes_[order.run] = order;
     }
     const std::optional<boot_time> based_on = report_sent_at(orders.based_on_report);
-    const bool too_late = !based_on || now >= *based_on + permission;
+    const boot_time not_after =
+        based_on ? *based_on + milliseconds(orders.start_within_ms) : boot_time();
     for (const start_order& order : orders.starts) {
         if (registration_.state != runner_state::ready) {
             reject(order.run, "draining");
         } else if (is_silent(now)) {
             reject(order.run, "runner_silent");
-        } else if (too_late) {
+        } else if (now >= not_after) {
             reject(order.run, "order_too_late");
         } else if (!is_listed(order.run) && starts_.count(order.run) == 0) {
-            starts_[order.run].order = order;
+            starts_[order.run] = {order, not_after};
             attributes_[order.run] = order;
         }
     }
@@ -116,13 +117,28 @@
     return found == sent_reports_.rend() ? std::nullopt : std::optional<boot_time>(found->second);
 }
 
-std::optional<start_order> run_tracker::next_start() {
-    for (auto& [run, pending] : starts_) {
-        if (!pending.in_flight && stops_.count(run) == 0) {
+std::optional<start_order> run_tracker::next_start(boot_time now) {
+    for (auto row = starts_.begin(); row != starts_.end();) {
+        const task_attempt run = row->first;
+        pending_start& pending = row->second;
+        if (pending.in_flight || stops_.count(run) != 0) {
+            ++row;
+            continue;
+        }
+        if (registration_.state == runner_state::ready && now < pending.not_after) {
             pending.in_flight = true;
             ++pending.tries;
             return pending.order;
         }
+        if (pending.tries > 0) {
+            // An earlier try without an answer may still take effect; a confirmed stop rules that
+            // out.
+            stops_.emplace(run, pending_stop());
+            ++row;
+            continue;
+        }
+        row = starts_.erase(row);
+        reject(run, registration_.state == runner_state::ready ? "order_too_late" : "draining");
     }
     return std::nullopt;
 }
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -46,6 +46,7 @@
         time += milliseconds(100);
         ++report.sequence;
         scheduler.confirm_leadership(now());
+        scheduler.confirm_closed_domains(now());
         const bool used = scheduler.apply_report(report, now());
         scheduler.schedule(now(), time.count());
         vm_orders orders = scheduler.take_orders("vm", used ? report.sequence : 0);
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -17,11 +17,15 @@
 /// A cancellation must have reached all runners within this.
 constexpr std::int64_t cancel_bound_ms = 3000;
 
+failure_domain_name domain_of(const vm_name& vm) {
+    return "domain of " + vm;
+}
+
 runner_registration registration_of(const model_runner& runner) {
     runner_registration registration;
     registration.instance = runner.instance();
     registration.service = "service";
-    registration.failure_domain = "domain";
+    registration.failure_domain = domain_of(runner.name());
     registration.capacity = {runner_millicores, 100000, 0};
     registration.state = runner_state::ready;
     return registration;
@@ -58,6 +62,12 @@
         if (with_faults && happens(fault_rates_.leader_change)) {
             change_leader();
         }
+        if (with_faults) {
+            change_closures();
+        } else {
+            closed_at_ms_.clear();
+            closures_unreadable_until_ms_ = 0;
+        }
         for (auto& [name, current] : agents_) {
             if (with_faults && happens(fault_rates_.agent_disconnect)) {
                 current.disconnected_until_ms = now_ms_ + random_ms(500, 12000);
@@ -156,7 +166,7 @@
 
 void cluster_model::call_runner(const vm_name& name) {
     run_tracker& tracker = *agents_[name].tracker;
-    while (const std::optional<start_order> order = tracker.next_start()) {
+    while (const std::optional<start_order> order = tracker.next_start(now())) {
         send_start(name, *order);
     }
     while (const std::optional<task_attempt> run = tracker.next_stop()) {
@@ -193,7 +203,9 @@
         tracker.start_unanswered(order.run);
         schedule_action(random_ms(500, 3000), [this, name, order, lease, epoch, work, instance] {
             if (runner(name).instance() == instance) {
+                start_is_late_ = true;
                 runner(name).start(order.run, *lease, epoch, work, now_ms_);
+                start_is_late_ = false;
             }
         });
         return;
@@ -222,6 +234,14 @@
     }
     if (&current == leaders_.back().get()) {
         current.scheduler->confirm_leadership(now());
+        if (now_ms_ >= closures_unreadable_until_ms_) {
+            std::set<failure_domain_name> closed;
+            for (const auto& [name, closed_at_ms] : closed_at_ms_) {
+                closed.insert(domain_of(name));
+            }
+            current.scheduler->set_closed_domains(std::move(closed));
+            current.scheduler->confirm_closed_domains(now());
+        }
     }
     current.scheduler->schedule(now(), now_ms_);
     for (const vm_name& name : current.scheduler->vms_with_orders()) {
@@ -278,6 +298,20 @@
     leaders_.push_back(next);
 }
 
+void cluster_model::change_closures() {
+    if (happens(fault_rates_.closures_unreadable)) {
+        closures_unreadable_until_ms_ = now_ms_ + random_ms(500, 12000);
+    }
+    if (!happens(fault_rates_.closure_change)) {
+        return;
+    }
+    const vm_name& changed =
+        runners_[static_cast<std::size_t>(random_ms(0, runner_count - 1))]->name();
+    if (closed_at_ms_.erase(changed) == 0) {
+        closed_at_ms_[changed] = now_ms_;
+    }
+}
+
 void cluster_model::submit(const job_spec& job) {
     jobs_[job.id] = job;
     jobs_[job.id].accepted_epoch = epoch_;
@@ -312,6 +346,12 @@
     if (acknowledged_tasks_.count(run.task) != 0) {
         violations_.push_back("task started after its end: " + what);
     }
+    const auto closed = closed_at_ms_.find(vm);
+    if (closed != closed_at_ms_.end() && !start_is_late_ &&
+        now_ms_ > closed->second + scheduler_settings().closure_age_limit.count()) {
+        violations_.push_back("task started in a closed failure domain: " + what + ", closed at " +
+                              std::to_string(closed->second));
+    }
     const job_spec& job = jobs_.at(run.task.job);
     for (const std::uint32_t earlier : job.steps[run.task.step].after) {
         for (std::uint32_t index = 0; index < job.steps[earlier].count; ++index) {
--- a/packages/core/tests/job/model/cluster_model.hpp
+++ b/packages/core/tests/job/model/cluster_model.hpp
@@ -29,6 +29,10 @@
     double delayed_starts{0.05};
     /// Share of the starts that runners refuse because they are temporarily unhealthy.
     double refused_starts{0.1};
+    /// The operators close a failure domain, or take one back.
+    double closure_change{0.1};
+    /// The leader cannot read the closed failure domains for up to 12 s.
+    double closures_unreadable{0.05};
 };
 
 /// Simulates leaders, agents, runners and the store under random delays, losses, restarts and
@@ -80,6 +84,7 @@
     void deliver_orders(const vm_name& name, const vm_orders& orders);
     void store_progress(leader& current);
     void change_leader();
+    void change_closures();
     void check_start(const task_attempt& run, const vm_name& vm);
     void check_capacity();
     model_runner& runner(const vm_name& name);
@@ -101,6 +106,11 @@
     std::set<task_ref> done_tasks_;
     /// Tasks whose end as done was acknowledged before the lease of the runner lapsed.
     std::set<task_ref> acknowledged_tasks_;
+    /// VMs in closed failure domains, each of which has one VM, and since when.
+    std::map<vm_name, std::int64_t> closed_at_ms_;
+    std::int64_t closures_unreadable_until_ms_{0};
+    /// Whether the start in progress is one that its runner carries out late.
+    bool start_is_late_{false};
     std::vector<std::string> violations_;
     std::size_t starts_{0};
 };
--- /dev/null
+++ b/packages/core/tests/job/run_tracker_test.cpp
@@ -0,0 +1,100 @@
+#include <egretstile/core/job/run_tracker.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace egretstile {
+namespace {
+
+/// An agent's tracker whose runner is ready and whose first report the leader has answered.
+class ready_agent {
+public:
+    ready_agent() {
+        registration.instance = "runner@1";
+        registration.state = runner_state::ready;
+        tracker.apply_registration(registration);
+        tracker.apply_lists(1, {}, {}, now());
+        tracker.make_report("vm", now());
+    }
+
+    boot_time now() const { return boot_time(time); }
+
+    /// Applies an order to start one task that is valid for `start_within` after the first report.
+    void order_start(milliseconds start_within) {
+        vm_orders orders;
+        orders.epoch = 1;
+        orders.answered_report = 1;
+        orders.based_on_report = 1;
+        orders.permission_ms = 8000;
+        orders.start_within_ms = static_cast<std::uint32_t>(start_within.count());
+        orders.number = 1;
+        orders.runner_instance = registration.instance;
+        start_order order;
+        order.run = run;
+        orders.starts = {order};
+        tracker.apply_orders(orders, now());
+    }
+
+    std::vector<rejected_run> rejected() { return tracker.make_report("vm", now()).rejected; }
+
+    run_tracker tracker;
+    runner_registration registration;
+    task_attempt run{{"job", 0, 0, 0}, 1};
+    milliseconds time{10000};
+};
+
+} // namespace
+
+// Guards against a task that starts in a failure domain after it was closed, because the order for
+// it was held up on its way or waited in the agent.
+TEST_CASE("a start that its leader allowed only for a time is rejected after that time") {
+    ready_agent agent;
+    agent.order_start(milliseconds(3000));
+    agent.time += milliseconds(3000);
+    CHECK_FALSE(agent.tracker.next_start(agent.now()).has_value());
+    const std::vector<rejected_run> rejected = agent.rejected();
+    REQUIRE(rejected.size() == 1);
+    CHECK(rejected.front().reason == "order_too_late");
+    agent.order_start(milliseconds(2999));
+    CHECK_FALSE(agent.tracker.next_start(agent.now()).has_value());
+}
+
+// Guards against a second try of a start on a runner that has announced in the meantime that it is
+// draining.
+TEST_CASE("a start without an answer is stopped, not tried again, when its runner drains") {
+    ready_agent agent;
+    agent.order_start(milliseconds(8000));
+    REQUIRE(agent.tracker.next_start(agent.now()).has_value());
+    agent.registration.state = runner_state::draining;
+    agent.tracker.apply_registration(agent.registration);
+    agent.tracker.start_unanswered(agent.run);
+    CHECK_FALSE(agent.tracker.next_start(agent.now()).has_value());
+    CHECK(agent.tracker.next_stop() == agent.run);
+}
+
+// Guards against a start that was ordered before its runner announced that it is draining, and is
+// sent after it.
+TEST_CASE("a start that was not sent yet is rejected when its runner drains") {
+    ready_agent agent;
+    agent.order_start(milliseconds(8000));
+    agent.registration.state = runner_state::draining;
+    agent.tracker.apply_registration(agent.registration);
+    CHECK_FALSE(agent.tracker.next_start(agent.now()).has_value());
+    const std::vector<rejected_run> rejected = agent.rejected();
+    REQUIRE(rejected.size() == 1);
+    CHECK(rejected.front().reason == "draining");
+}
+
+// Guards against a second try that would start the task after its failure domain was closed; the
+// first try may have started it.
+TEST_CASE("a start without an answer is stopped, not tried again, after its time") {
+    ready_agent agent;
+    agent.order_start(milliseconds(1000));
+    REQUIRE(agent.tracker.next_start(agent.now()).has_value());
+    agent.tracker.start_unanswered(agent.run);
+    agent.time += milliseconds(1000);
+    CHECK_FALSE(agent.tracker.next_start(agent.now()).has_value());
+    CHECK(agent.tracker.next_stop() == agent.run);
+    CHECK(agent.rejected().empty());
+}
+
+} // namespace egretstile
--- a/packages/core/tests/job/simulated_vms.hpp
+++ b/packages/core/tests/job/simulated_vms.hpp
@@ -58,6 +58,9 @@
     std::vector<start_order> exchange(milliseconds pause = milliseconds(100)) {
         time += pause;
         scheduler.confirm_leadership(now());
+        if (confirms_closed_domains) {
+            scheduler.confirm_closed_domains(now());
+        }
         for (auto& [name, report] : reports) {
             ++report.sequence;
             scheduler.apply_report(report, now());
@@ -101,6 +104,8 @@
     std::vector<decision> decisions;
     job_scheduler scheduler;
     std::map<vm_name, vm_report> reports;
+    /// Whether the leader learns that its closed failure domains are complete.
+    bool confirms_closed_domains{true};
     /// Runs that were ordered to stop.
     std::vector<task_attempt> stops;
     milliseconds time{1000};
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -162,7 +162,7 @@
 }
 
 void job_agent_process::send_starts() {
-    while (const std::optional<start_order> order = tracker_.next_start()) {
+    while (const std::optional<start_order> order = tracker_.next_start(boot_now())) {
         send_start(*order);
     }
 }
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -43,9 +43,10 @@
     , link_(loop_, own_hello(), leader_silence_limit,
             {[this](wire::message&& message) { handle_leader_message(message); }, [] {}})
     , leader_access_(loop_, link_)
-    , operators_(loop_, *store_, platform_.operators(), settings_.config_age_limit,
-                 [this] { handle_operator_change(); })
-    , config_exchange_(operators_)
+    , operators_(
+          loop_, *store_, platform_.operators(), settings_.config_age_limit,
+          {[this] { handle_operator_change(); }, [this] { handle_closed_domains_confirmed(); }})
+    , operator_exchange_(operators_)
     , control_(loop_, *store_, control_watch_wait, [this] { handle_control_change(); })
     , election_(loop_, *store_, control_, election_settings_for(settings_.processor_share),
                 settings_.common.vm, peer_address(),
@@ -73,7 +74,7 @@
     control_.start();
     loop_.call_every(ping_interval, [this] {
         if (leader_ == nullptr) {
-            link_.send(config_exchange_.next_ping(boot_now()));
+            link_.send(operator_exchange_.next_ping(boot_now()));
         }
     });
     write_log(log_part::process, log_level::info, "Entry started.",
@@ -118,13 +119,22 @@
 
 void job_entry_process::handle_operator_change() {
     if (leader_ != nullptr && operators_.config()) {
-        leader_->set_operator_state(*operators_.config(), operators_.closed_domains());
+        leader_->set_operator_state(*operators_.config(), operators_.closed().names());
+    }
+}
+
+void job_entry_process::handle_closed_domains_confirmed() {
+    const std::optional<boot_time> confirmed_at = operators_.closed().confirmed_at();
+    if (leader_ != nullptr && confirmed_at) {
+        leader_->confirm_closed_domains(*confirmed_at);
     }
 }
 
 void job_entry_process::start_leading(const leadership& acquired) {
+    leader_settings settings;
+    settings.scheduler.closure_age_limit = settings_.closure_age_limit;
     leader_ = std::make_unique<job_leader>(
-        loop_, *store_, leader_settings(), acquired,
+        loop_, *store_, settings, acquired,
         job_leader::handlers{[this](const vm_name& name, const wire::message& message) {
                                  return send_to_agent(name, message);
                              },
@@ -132,6 +142,7 @@
                              [this](decision_kind kind) { metrics_.count_decision(kind); }});
     leader_access_.set_local_leader(leader_.get());
     handle_operator_change();
+    handle_closed_domains_confirmed();
 }
 
 void job_entry_process::stop_leading() {
@@ -192,7 +203,7 @@
         return;
     }
     if (const wire::config_update* const update = std::get_if<wire::config_update>(&message)) {
-        config_exchange_.apply_update(*update);
+        operator_exchange_.apply_update(*update);
         return;
     }
     if (std::optional<wire::message> answer = handle_entry_message(*leader_, message)) {
@@ -203,22 +214,27 @@
 void job_entry_process::answer_ping(frame_connection& connection, const wire::leader_ping& ping) {
     const boot_time now = boot_now();
     entry_pings_[connection.peer().name] = {ping.config_version, now};
-    if (const std::optional<wire::config_update> update = config_exchange_.update_for(ping)) {
+    operator_exchange_.apply_ping(ping, leader_->epoch());
+    if (const std::optional<wire::config_update> update = operator_exchange_.update_for(ping)) {
         connection.send(*update);
     }
-    wire::leader_pong pong{ping.number, leader_->epoch(), leader_->is_serving()};
-    config_exchange_.describe(pong, now);
+    wire::leader_pong pong;
+    pong.number = ping.number;
+    pong.epoch = leader_->epoch();
+    pong.serving = leader_->is_serving();
+    operator_exchange_.describe(pong, now);
     connection.send(pong);
 }
 
 void job_entry_process::handle_leader_message(const wire::message& message) {
     if (const wire::leader_pong* const pong = std::get_if<wire::leader_pong>(&message)) {
-        if (const std::optional<wire::config_update> update = config_exchange_.apply_pong(*pong)) {
+        if (const std::optional<wire::config_update> update =
+                operator_exchange_.apply_pong(*pong)) {
             link_.send(*update);
         }
     } else if (const wire::config_update* const update =
                    std::get_if<wire::config_update>(&message)) {
-        config_exchange_.apply_update(*update);
+        operator_exchange_.apply_update(*update);
     } else {
         leader_access_.handle_message(message);
     }
@@ -284,7 +300,7 @@
         state.config_age_ms =
             std::chrono::duration_cast<milliseconds>(boot_now() - *confirmed).count();
     }
-    state.closed_domains = operators_.closed_domains();
+    state.closed_domains = operators_.closed().names();
     for (const auto& [name, last_ping] : entry_pings_) {
         const milliseconds age =
             std::chrono::duration_cast<milliseconds>(boot_now() - last_ping.second);
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "jobs/config_exchange.hpp"
 #include "jobs/job_api.hpp"
 #include "jobs/job_entry_metrics.hpp"
 #include "jobs/job_leader.hpp"
 #include "jobs/leader_access.hpp"
 #include "jobs/leader_election.hpp"
 #include "jobs/leader_link.hpp"
+#include "jobs/operator_state_exchange.hpp"
 #include "jobs/operator_view.hpp"
 #include "jobs/state_page.hpp"
 #include "net/frame_server.hpp"
@@ -50,6 +50,7 @@
 private:
     void handle_control_change();
     void handle_operator_change();
+    void handle_closed_domains_confirmed();
     void start_peer_server();
     void start_leading(const leadership& acquired);
     void stop_leading();
@@ -90,7 +91,7 @@
     leader_access leader_access_;
     std::unique_ptr<job_leader> leader_;
     operator_view operators_;
-    config_exchange config_exchange_;
+    operator_state_exchange operator_exchange_;
     control_view control_;
     leader_election election_;
     job_api job_api_;
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -54,6 +54,9 @@
 
     void set_operator_state(const operator_config& config, std::set<failure_domain_name> closed);
 
+    /// As `job_scheduler::confirm_closed_domains`.
+    void confirm_closed_domains(boot_time time) { scheduler_.confirm_closed_domains(time); }
+
     void confirm_leadership(boot_time time) { scheduler_.confirm_leadership(time); }
 
     void agent_connected(const vm_name& name);
--- a/packages/daemon/source/jobs/operator_view.hpp
+++ b/packages/daemon/source/jobs/operator_view.hpp
@@ -3,6 +3,7 @@
 #include "jobs/prefix_view.hpp"
 
 #include <egretstile/core/job/adopted_config.hpp>
+#include <egretstile/core/job/closed_domains.hpp>
 #include <egretstile/infrastructure/operators/operator_protocol.hpp>
 
 #include <functional>
@@ -18,10 +19,17 @@
 /// for a limited time after the store has confirmed it. For the event loop's thread only.
 class operator_view {
 public:
+    struct handlers {
+        /// The configuration or the closed failure domains have changed.
+        std::function<void()> on_change;
+        /// The closed failure domains were confirmed to be complete.
+        std::function<void()> on_closed_domains_confirmed;
+    };
+
     /// Operators expect a change to be in force everywhere within `config_age_limit`.
     operator_view(event_loop& loop, infrastructure::coordination_store& store,
                   const infrastructure::operator_protocol& protocol, milliseconds config_age_limit,
-                  std::function<void()> on_change);
+                  handlers callbacks);
 
     void start() { view_.start(); }
 
@@ -50,7 +58,11 @@
     void confirm(std::uint64_t version, boot_time time) { adopted_.confirm(version, time); }
 
     /// Failure domains that are out of service.
-    std::set<failure_domain_name> closed_domains() const;
+    const closed_domains& closed() const { return closed_; }
+
+    /// Adds what another process knows of the closed failure domains, which was complete at
+    /// `confirmed_at`; nothing: never.
+    void merge_closed(const closed_domain_set& domains, std::optional<boot_time> confirmed_at);
 
     /// As `adopted_config::confirmed_at`.
     std::optional<boot_time> confirmed_at() const { return adopted_.confirmed_at(); }
@@ -59,13 +71,21 @@
     void apply_change(const infrastructure::store_item& item);
     void apply_config(const operator_config& config, revision_number revision);
     void handle_listing();
+    /// Logs which failure domains have been closed and opened since `before`, and reports a change.
+    void handle_closed_change(const std::set<failure_domain_name>& before);
+
+    struct closure_key {
+        failure_domain_name domain;
+        revision_number revision{0};
+    };
 
     const infrastructure::operator_protocol& protocol_;
-    std::function<void()> on_change_;
+    handlers handlers_;
     adopted_config adopted_;
     revision_number config_revision_{0};
-    /// Failure domains out of service, by their keys in the store.
-    std::map<std::string, failure_domain_name> closed_domains_;
+    closed_domains closed_;
+    /// The closures that this process itself has read, by their keys in the store.
+    std::map<std::string, closure_key> closure_keys_;
     prefix_view view_;
 };
 
--- a/packages/daemon/source/jobs/prefix_view.cpp
+++ b/packages/daemon/source/jobs/prefix_view.cpp
@@ -85,6 +85,7 @@
         apply_item({key, "", 0});
     }
     watched_revision_ = list_revision_;
+    listed_revision_ = list_revision_;
     listing_ = false;
     if (!std::exchange(connected_, true)) {
         write_log(log_part::store, log_level::info, "Watching the stored keys.",
--- a/packages/daemon/source/jobs/prefix_view.hpp
+++ b/packages/daemon/source/jobs/prefix_view.hpp
@@ -51,6 +51,9 @@
     /// change that the store acknowledged before this time is in the view.
     std::optional<boot_time> confirmed_at() const { return confirmed_at_; }
 
+    /// Revision up to which the last complete listing shows all changes; zero before the first.
+    revision_number listed_revision() const { return listed_revision_; }
+
     /// Whether the store answered the last call.
     bool is_connected() const { return connected_; }
 
@@ -75,6 +78,7 @@
     /// Keys that the listing in progress has shown so far.
     std::map<std::string, revision_number> listed_;
     revision_number list_revision_{0};
+    revision_number listed_revision_{0};
     revision_number watched_revision_{0};
     std::optional<boot_time> confirmed_at_;
     bool listing_{false};
--- a/packages/daemon/source/settings/job_settings.hpp
+++ b/packages/daemon/source/settings/job_settings.hpp
@@ -33,6 +33,8 @@
     double processor_share{1.0};
     /// A change of the operators' configuration must be in force within this time.
     milliseconds config_age_limit{2000};
+    /// A failure domain that was taken out of service must get no task after this time.
+    milliseconds closure_age_limit{5000};
     /// Time in which the process stops after the stop signal; the platform kills it afterwards.
     milliseconds stop_timeout{5000};
 };
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -273,6 +273,11 @@
                    "A change of the operators' configuration must be in force within this time. "
                    "Nothing is refused for good by a configuration that the store confirmed "
                    "earlier than that.");
+    table.duration(
+        "closure_age_limit_ms", target.closure_age_limit, 100, minute_ms,
+        "A failure domain that was taken out of service must get no task after this "
+        "time. No task is started when neither the store nor another entry has confirmed "
+        "the closed failure domains since.");
     table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
                    "A planned shutdown waits at most this long for requests in progress.");
     return table.build();
--- a/packages/daemon/tests/jobs/job_api_test.cpp
+++ b/packages/daemon/tests/jobs/job_api_test.cpp
@@ -106,7 +106,7 @@
     in_memory_store store{loop};
     plain_operator_protocol operator_format;
     plain_caller_protocol caller_format;
-    operator_view operators{loop, store, operator_format, config_age_limit, [] {}};
+    operator_view operators{loop, store, operator_format, config_age_limit, {[] {}, [] {}}};
     leader_link link{loop,
                      {wire::peer_role::entry, "edge-1", 0},
                      milliseconds(1000),
--- a/packages/wire/include/egretstile/wire/message/messages.hpp
+++ b/packages/wire/include/egretstile/wire/message/messages.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/base/identifiers.hpp>
 #include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/base/resources.hpp>
+#include <egretstile/core/job/closed_domains.hpp>
 #include <egretstile/core/job/job_progress.hpp>
 #include <egretstile/core/job/job_spec.hpp>
 #include <egretstile/core/job/operator_config.hpp>
@@ -221,12 +222,24 @@
     task_record record;
 };
 
+/// Failure domains that the sender knows to be out of service.
+struct closed_domains_state {
+    closed_domain_set domains;
+    /// Time since `domains` was confirmed to be complete; negative: never.
+    std::int64_t age_ms{-1};
+};
+
 /// Sent by an entry to the leader, which replies with `leader_pong`, to check that the connection
 /// works.
 struct leader_ping {
     std::uint64_t number{0};
     /// Version of the operators' configuration that the entry uses; zero: none yet.
     std::uint64_t config_version{0};
+    closed_domains_state closed;
+    /// Epoch of the leader that sent the last pong that the entry has received, and `sent_at_ms` of
+    /// that pong; zero: none yet.
+    epoch_number last_pong_epoch{0};
+    std::int64_t last_pong_sent_at_ms{0};
 };
 
 struct leader_pong {
@@ -238,6 +251,9 @@
     std::uint64_t config_version{0};
     /// Time since that version was confirmed to be the newest; negative: never.
     std::int64_t config_age_ms{-1};
+    closed_domains_state closed;
+    /// On the leader's boot clock.
+    std::int64_t sent_at_ms{0};
 };
 
 /// Sent between an entry and the leader to the one that has the earlier configuration.
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -7,6 +7,7 @@
 
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/common.hpp>
+#include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -50,6 +51,11 @@
             value.image, value.target_latency_ms, value.max_unavailable);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, closed_domain_set& value) {
+    archive(value.closures, value.as_of);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, job_schedule& value) {
     archive(value.first_due_ms, value.interval_ms, value.repetitions);
@@ -144,8 +150,8 @@
 template <typename Archive>
 void serialize(Archive& archive, vm_orders& value) {
     archive(value.epoch, value.answered_report, value.permission_ms, value.based_on_report,
-            value.number, value.runner_instance, value.acknowledged_ends, value.starts, value.stops,
-            value.attributes, value.pressures);
+            value.start_within_ms, value.number, value.runner_instance, value.acknowledged_ends,
+            value.starts, value.stops, value.attributes, value.pressures);
 }
 
 template <typename Archive>
@@ -297,14 +303,21 @@
     archive(value.call_id, value.outcome, value.reason, value.record);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, closed_domains_state& value) {
+    archive(value.domains, value.age_ms);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, leader_ping& value) {
-    archive(value.number, value.config_version);
+    archive(value.number, value.config_version, value.closed, value.last_pong_epoch,
+            value.last_pong_sent_at_ms);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, leader_pong& value) {
-    archive(value.number, value.epoch, value.serving, value.config_version, value.config_age_ms);
+    archive(value.number, value.epoch, value.serving, value.config_version, value.config_age_ms,
+            value.closed, value.sent_at_ms);
 }
 
 template <typename Archive>
