runtime: idle limit and keep-alive for accepted connections

Cause: a connection of a caller or a peer that falls silent stayed open at the entry until the process ended; 2,000 of them leave no room for others.

Change: a connection on which no complete request arrives for 90 s is closed unless a request is being handled; the kernel probes accepted connections and gives up after 10 s without an answer, or without an acknowledgement of sent data. 90 s is longer than clients usually keep connections, so that a planned reuse does not meet a closed one.

--- a/packages/daemon/source/net/frame_server.cpp
+++ b/packages/daemon/source/net/frame_server.cpp
@@ -1,6 +1,7 @@
 #include "net/frame_server.hpp"
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
+#include <egretstile/runtime/net/keep_alive.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -71,6 +72,7 @@
             Poco::Net::StreamSocket accepted = socket_.acceptConnection();
             accepted.setBlocking(false);
             accepted.setNoDelay(true);
+            enable_keep_alive(accepted);
             frame_connection::handlers callbacks = handlers_;
             callbacks.on_closed = [this](frame_connection& connection) {
                 const std::shared_ptr<frame_connection> closed = connection.shared_from_this();
--- a/packages/runtime/include/egretstile/runtime/http/http_server.hpp
+++ b/packages/runtime/include/egretstile/runtime/http/http_server.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace egretstile {
 
@@ -28,6 +29,9 @@
         std::size_t max_connections{2000};
         std::size_t max_head_bytes{std::size_t{16} * 1024};
         std::size_t max_body_bytes{std::size_t{4} * 1024 * 1024};
+        /// A connection on which no complete request arrives for this long is closed, unless a
+        /// request is being handled. Longer than clients usually keep connections for reuse.
+        milliseconds idle_limit{90000};
     };
 
     /// Binds the address and listens. Throws Poco::Exception when the address cannot be bound. The
@@ -54,6 +58,7 @@
     friend class http_server_connection;
 
     void accept_connection();
+    void close_idle_connections();
 
     event_loop& loop_;
     Poco::Net::ServerSocket socket_;
@@ -62,6 +67,7 @@
     std::set<std::shared_ptr<http_server_connection>> connections_;
     std::size_t active_requests_{0};
     bool stopping_{false};
+    std::shared_ptr<int> alive_{std::make_shared<int>(0)};
 };
 
 } // namespace egretstile
--- a/packages/runtime/source/http/http_server.cpp
+++ b/packages/runtime/source/http/http_server.cpp
@@ -1,12 +1,17 @@
 #include "http/http_server_connection.hpp"
 
+#include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/http/http_server.hpp>
+#include <egretstile/runtime/net/keep_alive.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace egretstile {
 
@@ -15,6 +20,7 @@
 constexpr int listen_backlog = 1024;
 constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
 constexpr std::string_view end_of_head = "\r\n\r\n";
+constexpr milliseconds longest_idle_check_interval{5000};
 
 } // namespace
 
@@ -28,6 +34,12 @@
     socket_.setBlocking(false);
     loop_.watch(socket_, Poco::Net::PollSet::POLL_READ,
                 [this](int /*mode*/) { accept_connection(); });
+    loop_.call_every(std::min(longest_idle_check_interval, limits_.idle_limit / 2),
+                     [this, alive = std::weak_ptr<int>(alive_)] {
+                         if (!alive.expired()) {
+                             close_idle_connections();
+                         }
+                     });
 }
 
 http_server::~http_server() {
@@ -38,6 +50,24 @@
     }
 }
 
+void http_server::close_idle_connections() {
+    const boot_time oldest = boot_now() - limits_.idle_limit;
+    std::vector<std::shared_ptr<http_server_connection>> idle;
+    for (const std::shared_ptr<http_server_connection>& connection : connections_) {
+        if (connection->is_waiting_since_before(oldest)) {
+            idle.push_back(connection);
+        }
+    }
+    for (const std::shared_ptr<http_server_connection>& connection : idle) {
+        connection->close();
+    }
+    if (!idle.empty()) {
+        write_log(log_part::net, log_level::info, "Closed idle connections.",
+                  "connections=" + std::to_string(idle.size()) +
+                      " idle_limit_ms=" + std::to_string(limits_.idle_limit.count()));
+    }
+}
+
 void http_server::accept_connection() {
     try {
         Poco::Net::StreamSocket accepted = socket_.acceptConnection();
@@ -47,6 +77,7 @@
         }
         accepted.setBlocking(false);
         accepted.setNoDelay(true);
+        enable_keep_alive(accepted);
         const std::shared_ptr<http_server_connection> connection =
             std::make_shared<http_server_connection>(*this, accepted);
         connections_.insert(connection);
@@ -60,7 +91,8 @@
 http_server_connection::http_server_connection(http_server& server,
                                                const Poco::Net::StreamSocket& socket)
     : server_(server)
-    , socket_(socket) {}
+    , socket_(socket)
+    , waiting_since_(boot_now()) {}
 
 void http_server_connection::start() {
     const std::weak_ptr<http_server_connection> self = weak_from_this();
@@ -171,6 +203,7 @@
 
 void http_server_connection::send_response(http_response&& response, bool keep_alive) {
     awaiting_response_ = false;
+    waiting_since_ = boot_now();
     if (closed_) {
         return;
     }
--- a/packages/runtime/source/http/http_server_connection.hpp
+++ b/packages/runtime/source/http/http_server_connection.hpp
@@ -20,6 +20,11 @@
     void start();
     void close();
 
+    /// Whether the connection has waited for its next request since before `time`.
+    bool is_waiting_since_before(boot_time time) const {
+        return !awaiting_response_ && waiting_since_ < time;
+    }
+
 private:
     void handle_ready(int mode);
     void read_available();
@@ -38,6 +43,8 @@
     std::string output_;
     std::size_t sent_{0};
     bool awaiting_response_{false};
+    /// When the connection was accepted or the last response was begun.
+    boot_time waiting_since_;
     bool close_when_sent_{false};
     bool wants_write_{false};
     bool closed_{false};
