core, daemon: a failed or late change of speed does not slow a task for good

Cause, from reading: when the call that gives a filling task its full speed back failed, the guard forgot the task and took it for running at full speed, so it stayed at the former speed, also zero. An unanswered change may be carried out up to 12 s later, and two changes of one run under way at the same time may overtake each other on two connections; both leave the task at an old speed.

Change: a failed change is returned again whatever the speed is; after an unanswered one the speed is commanded each 1.5 s until it can no longer be carried out late; a run's next change waits for the answer to the last one.

Measured: two new cases of latency_guard_test, which fail with the repetition taken out.

--- a/packages/core/include/egretstile/core/interference/latency_guard.hpp
+++ b/packages/core/include/egretstile/core/interference/latency_guard.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,10 @@
     /// stopping filling tasks would not help it.
     milliseconds overload_detection_time{2000};
     milliseconds ignore_time{2000};
+    /// A runner may carry out a change that it has not answered up to this much later.
+    milliseconds late_change_limit{12000};
+    /// Interval at which the speed of a run with an unanswered change is commanded again.
+    milliseconds late_change_repeat{1500};
 };
 
 /// Command that limits a run to a percentage of its processor time. 100 percent removes the limit.
@@ -77,12 +82,17 @@
 
     /// Returns the speed changes to carry out now. `runs` may contain tasks that were started after
     /// the list of the last `observe`. Assumes that the changes are carried out; see
-    /// `change_failed`.
+    /// `change_failed` and `change_unanswered`.
     std::vector<speed_change> update(const std::vector<guarded_run>& runs, std::int64_t capacity,
                                      boot_time now);
 
-    /// Records that a change was not carried out, so that the next `update` returns it again.
-    void change_failed(const task_attempt& run) { applied_percents_.erase(run); }
+    /// Records that a change was not carried out, so that the next `update` returns one for the run
+    /// again, whatever the speed is by then.
+    void change_failed(const task_attempt& run) { unconfirmed_.insert(run); }
+
+    /// Records that it is not known whether a change was carried out. The runner may also carry it
+    /// out seconds later, so the run's speed is commanded repeatedly until that is ruled out.
+    void change_unanswered(const task_attempt& run, boot_time now);
 
     /// Smallest headroom of any serving task at the last `update`. Zero when none is known.
     double least_headroom() const { return least_headroom_; }
@@ -106,6 +116,8 @@
     std::map<std::string, std::uint32_t> choose_percents(const std::vector<guarded_run>& runs,
                                                          std::int64_t capacity,
                                                          std::vector<protected_task> tasks) const;
+    /// Whether the run's speed has to be commanded again although it has not changed.
+    bool must_repeat(const task_attempt& run, boot_time now);
     /// Headroom that tasks of the serving image lose because of the filling tasks' present usage.
     double current_headroom_loss(const std::string& serving_image,
                                  const std::vector<guarded_run>& runs, std::int64_t capacity) const;
@@ -121,6 +133,16 @@
     std::map<task_attempt, boot_time> ignored_until_;
     /// Speed of each filling run in percent, as last commanded.
     std::map<task_attempt, std::uint32_t> applied_percents_;
+    /// Runs whose last commanded speed was not carried out.
+    std::set<task_attempt> unconfirmed_;
+
+    struct late_change {
+        /// Until when an unanswered change may still be carried out.
+        boot_time possible_until;
+        boot_time repeat_at;
+    };
+
+    std::map<task_attempt, late_change> late_changes_;
 };
 
 } // namespace egretstile
--- a/packages/core/source/interference/latency_guard.cpp
+++ b/packages/core/source/interference/latency_guard.cpp
@@ -70,16 +70,36 @@
         const auto found = applied_percents_.find(run.run);
         const std::uint32_t present =
             found == applied_percents_.end() ? full_speed_percent : found->second;
-        const bool changes_now = should_change(present, percent);
+        const bool changes_now = must_repeat(run.run, now) || should_change(present, percent);
         if (changes_now) {
             changes.push_back({run.run, percent});
         }
         applied_percents[run.run] = changes_now ? percent : present;
     }
     applied_percents_ = std::move(applied_percents);
+    std::erase_if(unconfirmed_,
+                  [this](const task_attempt& run) { return applied_percents_.count(run) == 0; });
+    std::erase_if(late_changes_, [this, now](const auto& row) {
+        return applied_percents_.count(row.first) == 0 || now >= row.second.possible_until;
+    });
     return changes;
 }
 
+void latency_guard::change_unanswered(const task_attempt& run, boot_time now) {
+    unconfirmed_.insert(run);
+    late_changes_[run] = {now + settings_.late_change_limit, now + settings_.late_change_repeat};
+}
+
+bool latency_guard::must_repeat(const task_attempt& run, boot_time now) {
+    const bool was_unconfirmed = unconfirmed_.erase(run) != 0;
+    const auto late = late_changes_.find(run);
+    if (late == late_changes_.end() || now < late->second.repeat_at) {
+        return was_unconfirmed;
+    }
+    late->second.repeat_at = now + settings_.late_change_repeat;
+    return true;
+}
+
 std::vector<latency_guard::protected_task>
 latency_guard::find_protected_tasks(const std::vector<guarded_run>& runs, std::int64_t capacity,
                                     boot_time now) {
--- a/packages/core/tests/interference/latency_guard_test.cpp
+++ b/packages/core/tests/interference/latency_guard_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace egretstile {
 namespace {
@@ -144,5 +146,68 @@
     CHECK(guard.update(runs, capacity, boot_time(std::chrono::seconds(1))).empty());
 }
 
+/// A guard with a serving task that leaves no headroom, or is gone, and one filling task.
+class slowed_task {
+public:
+    /// Updates after `pause`; returns the speed that is commanded for the filling task.
+    std::optional<std::uint32_t> update(milliseconds pause) {
+        now += pause;
+        std::vector<guarded_run> runs{filling_run(0, 6000, "heavy")};
+        if (disturbed) {
+            guarded_run serving;
+            serving.run = {{"serving", 0, 0, 0}, 1};
+            serving.target_latency_ms = target_ms;
+            serving.latency_ms = 2 * target_ms;
+            serving.cpu_millicores = 13000;
+            serving.image = "server";
+            runs.push_back(serving);
+            guard.observe(runs, capacity, now);
+        }
+        const std::vector<speed_change> changes = guard.update(runs, capacity, now);
+        return changes.empty() ? std::nullopt : std::optional(changes.front().percent);
+    }
+
+    latency_guard guard;
+    const task_attempt run = filling_run(0, 6000, "heavy").run;
+    bool disturbed{true};
+    boot_time now{std::chrono::seconds(1)};
+};
+
+// Guards against a task that stays slow for good because the call that gave it its full speed back
+// was not carried out.
+TEST_CASE("a failed change back to full speed is returned again") {
+    slowed_task task;
+    REQUIRE(task.update(milliseconds(500)) < 100u);
+    task.disturbed = false;
+    REQUIRE(task.update(milliseconds(500)) == 100u);
+    CHECK_FALSE(task.update(milliseconds(500)).has_value());
+    task.guard.change_failed(task.run);
+    CHECK(task.update(milliseconds(500)) == 100u);
+    CHECK_FALSE(task.update(milliseconds(500)).has_value());
+}
+
+// Pattern: orders without an answer that are carried out seconds later. Guards against a task that
+// such an order slows down after it was given its full speed back.
+TEST_CASE("the speed is commanded again while an unanswered change may still be carried out") {
+    const latency_guard_settings settings;
+    slowed_task task;
+    REQUIRE(task.update(milliseconds(500)) < 100u);
+    task.guard.change_unanswered(task.run, task.now);
+    const boot_time possible_until = task.now + settings.late_change_limit;
+    boot_time last_commanded = task.now;
+    task.disturbed = false;
+    REQUIRE(task.update(milliseconds(500)) == 100u);
+    while (task.now < possible_until) {
+        if (task.update(milliseconds(100)) == 100u) {
+            CHECK(task.now - last_commanded >= settings.late_change_repeat);
+            last_commanded = task.now;
+        }
+        CHECK(task.now - last_commanded <= settings.late_change_repeat + milliseconds(100));
+    }
+    for (int later = 0; later < 50; ++later) {
+        CHECK_FALSE(task.update(milliseconds(100)).has_value());
+    }
+}
+
 } // namespace
 } // namespace egretstile
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -320,6 +320,12 @@
     const std::vector<guarded_run> runs = guarded_runs();
     for (const speed_change& change :
          guard_.update(runs, tracker_.registration().capacity.cpu_millicores, boot_now())) {
+        // Calls on different connections can overtake each other, so a run's next change waits for
+        // the answer to the last one.
+        if (!changing_speed_.insert(change.run).second) {
+            guard_.change_failed(change.run);
+            continue;
+        }
         write_log(log_part::worker, log_level::info, "Changing the speed of a task.",
                   fields_of(change.run) + " percent=" + std::to_string(change.percent) +
                       " least_headroom=" + std::to_string(guard_.least_headroom()));
@@ -327,7 +333,14 @@
             change.run, change.percent, tracker_.epoch(),
             [this, run = change.run](std::variant<runner_confirmation, runner_refusal>&& answer) {
                 count_call(runner_call::throttle, answer);
-                if (std::holds_alternative<runner_refusal>(answer)) {
+                changing_speed_.erase(run);
+                const runner_refusal* const refusal = std::get_if<runner_refusal>(&answer);
+                if (refusal == nullptr) {
+                    return;
+                }
+                if (*refusal == runner_refusal::no_answer) {
+                    guard_.change_unanswered(run, boot_now());
+                } else {
                     guard_.change_failed(run);
                 }
             });
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -14,6 +14,7 @@
 #include <egretstile/runtime/telemetry/bounded_output.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace egretstile::daemon {
@@ -83,6 +84,8 @@
     std::unique_ptr<infrastructure::task_runner> runner_;
     run_tracker tracker_;
     latency_guard guard_;
+    /// Runs with a change of speed that the runner has not answered yet.
+    std::set<task_attempt> changing_speed_;
     /// Whether the next report carries all pressures that `guard_` has estimated: the connection to
     /// the leader is new, so the leader may not have them.
     bool send_pressures_{false};
