--- a/packages/runtime/source/http/http_client.cpp
+++ b/packages/runtime/source/http/http_client.cpp
@@ -204,7 +204,9 @@
         head_.reset();
         input_.clear();
         const http_client::callback done = std::exchange(done_, nullptr);
-        if (!keep_open) {
+        if (keep_open) {
+            client_->schedule_waiting_calls();
+        } else {
             close();
         }
         if (done) {
@@ -239,6 +241,7 @@
             std::vector<std::shared_ptr<http_client_connection>>& all = client_->connections_;
             const std::shared_ptr<http_client_connection> self = shared_from_this();
             all.erase(std::remove(all.begin(), all.end(), self), all.end());
+            client_->schedule_waiting_calls();
         }
     }
 
@@ -259,9 +262,10 @@
     bool closed_{false};
 };
 
-http_client::http_client(event_loop& loop, endpoint server)
+http_client::http_client(event_loop& loop, endpoint server, std::size_t max_connections)
     : loop_(loop)
-    , server_(std::move(server)) {}
+    , server_(std::move(server))
+    , max_connections_(max_connections) {}
 
 http_client::~http_client() {
     for (const std::shared_ptr<http_client_connection>& connection :
@@ -271,12 +275,71 @@
 }
 
 void http_client::call(http_request&& request, milliseconds timeout, callback done) {
+    waiting_call call{format_request(request, to_string(server_)), timeout, boot_now() + timeout,
+                      std::move(done)};
+    if (waiting_.empty() && has_free_connection()) {
+        send(std::move(call));
+        return;
+    }
+    waiting_.push_back(std::move(call));
+    loop_.call_at(waiting_.back().give_up_at, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            fail_expired_calls();
+        }
+    });
+}
+
+void http_client::send(waiting_call&& call) {
     const std::shared_ptr<http_client_connection> connection = idle_connection();
     if (!connection) {
-        loop_.post([done = std::move(done)] { done(http_failure::not_sent); });
+        loop_.post([done = std::move(call.done)] { done(http_failure::not_sent); });
         return;
     }
-    connection->send(format_request(request, to_string(server_)), timeout, std::move(done));
+    connection->send(std::move(call.bytes), call.timeout, std::move(call.done));
+}
+
+void http_client::schedule_waiting_calls() {
+    if (waiting_.empty() || std::exchange(send_scheduled_, true)) {
+        return;
+    }
+    loop_.post([this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            send_waiting_calls();
+        }
+    });
+}
+
+void http_client::send_waiting_calls() {
+    send_scheduled_ = false;
+    while (!waiting_.empty() && has_free_connection()) {
+        waiting_call next = std::move(waiting_.front());
+        waiting_.pop_front();
+        send(std::move(next));
+    }
+}
+
+void http_client::fail_expired_calls() {
+    const boot_time now = boot_now();
+    std::vector<callback> expired;
+    for (auto call = waiting_.begin(); call != waiting_.end();) {
+        if (now < call->give_up_at) {
+            ++call;
+            continue;
+        }
+        expired.push_back(std::move(call->done));
+        call = waiting_.erase(call);
+    }
+    for (const callback& done : expired) {
+        done(http_failure::not_sent);
+    }
+}
+
+bool http_client::has_free_connection() const {
+    return connections_.size() < max_connections_ ||
+           std::any_of(connections_.begin(), connections_.end(),
+                       [](const std::shared_ptr<http_client_connection>& connection) {
+                           return connection->is_idle();
+                       });
 }
 
 void http_client::close_idle_connections() {
--- a/packages/runtime/tests/http/http_call_test.cpp
+++ b/packages/runtime/tests/http/http_call_test.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <thread>
@@ -181,6 +182,60 @@
     CHECK(std::get<http_failure>(*result) == http_failure::refused);
 }
 
+// Pattern: a burst of calls to one server. Guards against connections beyond the server's limit,
+// which it resets, so that it is not known which calls had an effect.
+TEST_CASE("calls beyond the limit of connections wait and are sent in order") {
+    event_loop loop;
+    std::vector<std::string> handled;
+    std::size_t most_connections = 0;
+    http_server* running = nullptr;
+    http_server server(loop, {"127.0.0.1", 0}, {},
+                       [&](http_request&& request, const http_server::responder& respond) {
+                           handled.push_back(request.path);
+                           most_connections = std::max(most_connections, running->connections());
+                           loop.call_at(boot_now() + milliseconds(2),
+                                        [respond] { respond(http_response()); });
+                       });
+    running = &server;
+    http_client client(loop, {"127.0.0.1", server.port()}, 2);
+    std::vector<std::string> expected;
+    std::size_t answered = 0;
+    for (int number = 10; number < 30; ++number) {
+        expected.push_back("/" + std::to_string(number));
+        client.call(get(expected.back()), milliseconds(3000), [&answered](http_result&& result) {
+            answered += std::holds_alternative<http_response>(result) ? 1 : 0;
+        });
+    }
+    run_until(loop, [&answered] { return answered == 20; });
+    CHECK(answered == 20);
+    CHECK(most_connections == 2);
+    std::sort(handled.begin(), handled.end());
+    CHECK(handled == expected);
+}
+
+// Guards against a call that waits without end for a connection to a server that does not answer,
+// and against one that is reported as possibly carried out although it was never sent.
+TEST_CASE("a call that gets no connection in time fails as not sent") {
+    event_loop loop;
+    std::vector<http_server::responder> unanswered;
+    http_server server(loop, {"127.0.0.1", 0}, {},
+                       [&unanswered](http_request&&, http_server::responder respond) {
+                           unanswered.push_back(std::move(respond));
+                       });
+    http_client client(loop, {"127.0.0.1", server.port()}, 1);
+    std::vector<http_failure> failures;
+    const auto record = [&failures](http_result&& result) {
+        failures.push_back(std::get<http_failure>(result));
+    };
+    client.call(get("/first"), milliseconds(400), record);
+    client.call(get("/second"), milliseconds(100), record);
+    run_until(loop, [&failures] { return failures.size() == 2; });
+    REQUIRE(failures.size() == 2);
+    CHECK(failures[0] == http_failure::not_sent);
+    CHECK(failures[1] == http_failure::no_answer);
+    CHECK(unanswered.size() == 1);
+}
+
 // Guards against request bodies beyond the limit that use up the memory of the server.
 TEST_CASE("a request with a body beyond the limit is rejected before the handler runs") {
     event_loop loop;
