--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -684,7 +684,7 @@
     /// Begins the check-ins.
     void begin() {
         std::thread([this] {
-            while (true) {
+            while (!removed_) {
                 const answer got = http_call(
                     check_in_port_, "POST", "/v1/instances/" + shape_.name + "/heartbeat", "agent",
                     check_in(), 1000);
@@ -693,6 +693,18 @@
         }).detach();
     }
 
+    /// Ends the runner for good, as when its machine is removed.
+    void remove() {
+        {
+            const std::lock_guard lock(mutex_);
+            removed_ = true;
+            while (!active_.empty()) {
+                finish(active_.begin()->first, "gone");
+            }
+        }
+        listener_.close_all();
+    }
+
     std::size_t active() const {
         const std::lock_guard lock(mutex_);
         return active_.size();
@@ -869,6 +881,7 @@
     std::map<std::string, run> active_;
     std::deque<end> ended_;
     std::map<std::string, std::int64_t> closed_;
+    std::atomic<bool> removed_{false};
     http_listener listener_;
 };
 
