--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -192,6 +192,9 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
+    /// While set, each new connection is reset, and each open one when a request arrives on it.
+    void reset_calls(bool resets) { resets_ = resets; }
+
     /// Closes the listening socket and all connections, as the end of a process does.
     void close_all() {
         stopped_ = true;
@@ -199,8 +202,7 @@
         ::close(socket_);
         const std::lock_guard lock(mutex_);
         for (const int connection : connections_) {
-            const linger hard{1, 0};
-            ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+            reset(connection);
             ::shutdown(connection, SHUT_RDWR);
         }
     }
@@ -217,6 +219,11 @@
             }
             const int one = 1;
             ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+            if (resets_) {
+                reset(connection);
+                ::close(connection);
+                continue;
+            }
             {
                 const std::lock_guard lock(mutex_);
                 connections_.insert(connection);
@@ -225,6 +232,12 @@
         }
     }
 
+    /// Makes the following close send a reset.
+    static void reset(int connection) {
+        const linger hard{1, 0};
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
+
     void serve(int connection) {
         std::string buffer, head, body;
         while (!stopped_ && read_message(connection, buffer, head, body)) {
@@ -259,6 +272,10 @@
                 }
             }
             call.body = body;
+            if (resets_) {
+                reset(connection);
+                break;
+            }
             const response answer = handler_(call);
             if (answer.drop || stopped_) {
                 break;
@@ -280,6 +297,7 @@
     int socket_{-1};
     int port_{0};
     std::atomic<bool> stopped_{false};
+    std::atomic<bool> resets_{false};
     std::mutex mutex_;
     std::set<int> connections_;
 };
@@ -382,10 +400,12 @@
         return listeners_.back()->port();
     }
 
-    /// Machines whose calls are answered 503; waiting watches of theirs are cut.
-    void turn_away(const std::set<std::string>& machines) {
+    /// Machines whose calls are answered 503, and whose waiting watches are cut, or which get no
+    /// response (`silent`). A call without a response gets none later either.
+    void turn_away(const std::set<std::string>& machines, bool silent = false) {
         const std::lock_guard lock(mutex_);
         turned_away_ = machines;
+        silent_ = silent;
         changed_.notify_all();
     }
 
@@ -462,7 +482,7 @@
         sleep_ms(4);
         std::unique_lock lock(mutex_);
         if (is_turned_away(machine)) {
-            return {503, "{}"};
+            return refusal(lock);
         }
         if (call.path == "/v1/kv-key") {
             const auto found = items_.find(call.query.at("key"));
@@ -508,6 +528,17 @@
         return {404, "{}"};
     }
 
+    response refusal(std::unique_lock<std::mutex>& lock) {
+        if (!silent_) {
+            return {503, "{}"};
+        }
+        lock.unlock();
+        sleep_ms(12000); // The caller has closed the channel long before.
+        response none;
+        none.drop = true;
+        return none;
+    }
+
     response range(const request& call) const {
         const std::string& prefix = call.query.at("prefix");
         const auto after = call.query.find("after");
@@ -533,7 +564,7 @@
         const std::int64_t until = steady_ms() + std::stoll(call.query.at("wait_ms"));
         while (true) {
             if (is_turned_away(machine)) {
-                return {503, "{}"};
+                return refusal(lock);
             }
             std::string events;
             for (auto row = events_.rbegin(); row != events_.rend() && row->revision > after;
@@ -605,6 +636,7 @@
     std::map<std::int64_t, std::pair<std::int64_t, std::set<std::string>>> leases_;
     std::map<std::int64_t, std::int64_t> ttl_;
     std::set<std::string> turned_away_;
+    bool silent_{false};
     std::vector<std::unique_ptr<http_listener>> listeners_;
 };
 
@@ -693,6 +725,9 @@
         }).detach();
     }
 
+    /// While set, calls to the runner are reset; its check-ins and its tasks go on.
+    void reset_calls(bool resets) { listener_.reset_calls(resets); }
+
     /// Ends the runner for good, as when its machine is removed.
     void remove() {
         {
@@ -1084,6 +1119,8 @@
         return best;
     }
 
+    const std::string& folder() const { return folder_; }
+
     process& entry(std::size_t index) { return *entries_[index]; }
 
     process& agent(std::size_t index) { return *agents_[index]; }
