--- a/review/5/case.cpp
+++ b/review/5/case.cc
@@ -1,6 +1,6 @@
 // Two machines are removed for good at the same moment: the leading entry, and a side machine on
 // which lasting tasks run.
-#include "platform.hpp"
+#include "platform.h"
 
 using namespace review;
 
@@ -51,7 +51,8 @@
                 waited += to > begin + 3000 ? 1 : 0;
             };
             for (const run_event& event : system.runs().events()) {
-                if (idle_since.count(event.task) == 0 && event.task.compare(0, 8, "5c0e7a21") != 0) {
+                if (idle_since.count(event.task) == 0 &&
+                    event.task.compare(0, 8, "5c0e7a21") != 0) {
                     continue;
                 }
                 if (event.what != "start") {
@@ -67,8 +68,9 @@
                 check(since, record.now());
             }
             record.line("longest time without a run: " + std::to_string(longest) + " ms");
-            record.line("lasting tasks that did not run for 3 s, from 6 s after their last run, in calm: " +
-                        std::to_string(waited));
+            record.line(
+                "lasting tasks that did not run for 3 s, from 6 s after their last run, in calm: " +
+                std::to_string(waited));
             result = waited > 0 ? 1 : 0;
         }
     }
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.h
@@ -3,15 +3,14 @@
 // PROTOCOL.md; where the page is silent they behave like a sound store or runner.
 #pragma once
 
-#include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -322,9 +321,10 @@
     ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
     answer result;
     std::string buffer, head;
-    const std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host +
-                             "\r\nContent-Type: application/json\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n" + more_headers + "\r\n" + body;
+    const std::string text =
+        method + " " + target + " HTTP/1.1\r\nHost: " + host +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n" + more_headers + "\r\n" + body;
     if (::connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
         write_all(connection, text) && read_message(connection, buffer, head, result.body)) {
         result.status = std::atoi(head.c_str() + head.find(' '));
@@ -501,12 +501,13 @@
         if (call.path == "/v1/kv-lease") {
             rapidjson::Document body;
             body.Parse(call.body.c_str());
-            const std::int64_t ttl = std::clamp<std::int64_t>(number_of(body, "ttl_ms"), 1000, 600000);
+            const std::int64_t ttl =
+                std::clamp<std::int64_t>(number_of(body, "ttl_ms"), 1000, 600000);
             const std::int64_t id = ++last_lease_;
             leases_[id].first = steady_ms() + ttl;
             ttl_[id] = ttl;
-            return {200, "{\"lease\":" + std::to_string(id) +
-                             ",\"ttl_ms\":" + std::to_string(ttl) + "}"};
+            return {200, "{\"lease\":" + std::to_string(id) + ",\"ttl_ms\":" + std::to_string(ttl) +
+                             "}"};
         }
         const std::string keep = "/v1/kv-keep/", end = "/v1/kv-lease-end/";
         if (begins(call.path, keep)) {
@@ -572,11 +573,11 @@
                 if (!begins(row->key, prefix)) {
                     continue;
                 }
-                const std::string one =
-                    row->now ? text(row->key, *row->now)
-                             : "{\"key\":" + json_text(row->key) +
-                                   ",\"revision\":" + std::to_string(row->revision) +
-                                   ",\"deleted\":true}";
+                const std::string one = row->now
+                                            ? text(row->key, *row->now)
+                                            : "{\"key\":" + json_text(row->key) +
+                                                  ",\"revision\":" + std::to_string(row->revision) +
+                                                  ",\"deleted\":true}";
                 events = events.empty() ? one : one + "," + events;
             }
             if (!events.empty() || steady_ms() >= until) {
@@ -717,9 +718,9 @@
     void begin() {
         std::thread([this] {
             while (!removed_) {
-                const answer got = http_call(
-                    check_in_port_, "POST", "/v1/instances/" + shape_.name + "/heartbeat", "agent",
-                    check_in(), 1000);
+                const answer got =
+                    http_call(check_in_port_, "POST", "/v1/instances/" + shape_.name + "/heartbeat",
+                              "agent", check_in(), 1000);
                 sleep_ms(got.status == 200 ? 1500 : 200);
             }
         }).detach();
@@ -770,9 +771,8 @@
                "\"capacity\":{\"cpu\":" +
                std::to_string(shape_.cpu) + ",\"mem_mb\":" + std::to_string(shape_.mem_mb) +
                ",\"gpu\":0},\"labels\":[\"a\"," + json_text(shape_.rack) +
-               "],\"clock_ms\":" + std::to_string(clock()) +
-               ",\"born\":" + std::to_string(born_) + ",\"sequence\":" + std::to_string(++sequence_) +
-               "}";
+               "],\"clock_ms\":" + std::to_string(clock()) + ",\"born\":" + std::to_string(born_) +
+               ",\"sequence\":" + std::to_string(++sequence_) + "}";
     }
 
     std::string with_clock(const std::string& more = "") const {
@@ -880,16 +880,17 @@
             runs_.acknowledged(shape_.name, ended_.front().task, ended_.front().attempt);
             ended_.pop_front();
         }
-        const std::int64_t until = steady_ms() + std::min<std::int64_t>(number_of(body, "wait_ms"), 2000);
+        const std::int64_t until =
+            steady_ms() + std::min<std::int64_t>(number_of(body, "wait_ms"), 2000);
         while (ended_.empty() && steady_ms() < until) {
             changed_.wait_for(lock, std::chrono::milliseconds(until - steady_ms()));
         }
         std::string active, finished;
         for (const auto& [task, running] : active_) {
             const std::int64_t percent =
-                running.length_ms == 0
-                    ? 100
-                    : std::min<std::int64_t>(99, (clock() - running.began_ms) * 100 / running.length_ms);
+                running.length_ms == 0 ? 100
+                                       : std::min<std::int64_t>(99, (clock() - running.began_ms) *
+                                                                        100 / running.length_ms);
             active += std::string(active.empty() ? "" : ",") + "[" + json_text(task) + "," +
                       std::to_string(running.attempt) + ",\"\"," + std::to_string(percent) + ",0]";
         }
@@ -898,9 +899,9 @@
             if (rows++ == 500) {
                 break;
             }
-            finished += std::string(finished.empty() ? "" : ",") + "[" + std::to_string(row.number) +
-                        "," + json_text(row.task) + "," + std::to_string(row.attempt) + ",\"" +
-                        row.how + "\",\"\"]";
+            finished += std::string(finished.empty() ? "" : ",") + "[" +
+                        std::to_string(row.number) + "," + json_text(row.task) + "," +
+                        std::to_string(row.attempt) + ",\"" + row.how + "\",\"\"]";
         }
         return {200, with_clock(",\"active\":[" + active + "],\"finished\":[" + finished + "]")};
     }
@@ -960,9 +961,7 @@
     }
 
     /// Whether the process has ended by itself.
-    bool has_ended() {
-        return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_;
-    }
+    bool has_ended() { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_; }
 
     const std::string& name() const { return name_; }
 
@@ -1017,8 +1016,8 @@
         }
     }
 
-    /// Ends all processes and removes the temporary folder. The threads of the stand-ins go on until
-    /// the program ends, so the object is not destroyed before.
+    /// Ends all processes and removes the temporary folder. The threads of the stand-ins go on
+    /// until the program ends, so the object is not destroyed before.
     void stop() {
         for (const auto& one : agents_) {
             one->kill(SIGKILL);
@@ -1053,8 +1052,9 @@
         sleep_ms(4000);
         // A first job shows that everything works.
         for (std::size_t tries = 0; tries < 20; ++tries) {
-            if (post(0, "00000000000000aa", job("[{\"count\":1,\"cpu\":100,\"mem_mb\":64,"
-                                                "\"estimate_ms\":100}]")) == 200) {
+            if (post(0, "00000000000000aa",
+                     job("[{\"count\":1,\"cpu\":100,\"mem_mb\":64,"
+                         "\"estimate_ms\":100}]")) == 200) {
                 break;
             }
             sleep_ms(300);
@@ -1074,9 +1074,8 @@
     }
 
     int post(std::size_t entry, const std::string& id, const std::string& body) {
-        const answer got =
-            http_call(caller_ports_[entry], "POST", "/q1/" + id, "h.example", body, 3000,
-                      "Egretstile-Deadline-Ms: 3000\r\n");
+        const answer got = http_call(caller_ports_[entry], "POST", "/q1/" + id, "h.example", body,
+                                     3000, "Egretstile-Deadline-Ms: 3000\r\n");
         record_.line("client: POST " + id + " at " + entries_[entry]->name() + " (" +
                      std::to_string(body.size()) + " bytes) -> " + std::to_string(got.status));
         return got.status;
@@ -1109,7 +1108,8 @@
         int best_epoch = -1;
         for (std::size_t i = 0; i < entries_.size(); ++i) {
             for (int epoch = 1; epoch < 30; ++epoch) {
-                if (entries_[i]->log_lines_with("Leads. epoch=" + std::to_string(epoch) + " ") > 0 &&
+                if (entries_[i]->log_lines_with("Leads. epoch=" + std::to_string(epoch) + " ") >
+                        0 &&
                     epoch > best_epoch) {
                     best = i;
                     best_epoch = epoch;
@@ -1141,8 +1141,8 @@
     std::string common(const std::string& name, std::size_t index) {
         return "vm = \"" + name + "\"\nfailure_domain = \"" + zone(index) +
                "\"\nhost = \"127.0.0.1\"\nfirst_port = " + std::to_string(free_port()) +
-               "\nmetrics_port = " + std::to_string(free_port()) + "\nstore = \"127.0.0.1:" +
-               std::to_string(store_.open(name)) + "\"\n";
+               "\nmetrics_port = " + std::to_string(free_port()) +
+               "\nstore = \"127.0.0.1:" + std::to_string(store_.open(name)) + "\"\n";
     }
 
     recorder& record_;
