--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,4 +1,4 @@
-// The leading entry and one agent get no response from the store for 3.2 s, up to eight times.
+// The leading entry and one agent get no response from the store for 3.2 s, up to twelve times.
 #include "platform.h"
 
 using namespace review;
@@ -26,8 +26,8 @@
             }
         });
         verdict seen;
-        for (int round = 0; round < 8 && seen.overlapping + seen.after_done == 0; ++round) {
-            sleep_ms(3000);
+        for (int round = 0; round < 12 && seen.overlapping + seen.after_done == 0; ++round) {
+            sleep_ms(2000);
             leader = system.leader();
             const process& agent = system.agent(static_cast<std::size_t>(round) % 3);
             if (trouble()) {
@@ -40,7 +40,7 @@
                 record.line("the store serves all again");
                 system.platform().turn_away({});
             }
-            sleep_ms(4500);
+            sleep_ms(2500);
             seen = judge_twice(system.runs().events());
         }
         stop = true;
