--- a/packages/core/tests/job/run_tracker_test.cpp
+++ b/packages/core/tests/job/run_tracker_test.cpp
@@ -34,6 +34,22 @@
         tracker.apply_orders(orders, now());
     }
 
+    /// Applies an order to stop the task.
+    void order_stop() {
+        vm_orders orders;
+        orders.epoch = 1;
+        orders.number = 2;
+        orders.runner_instance = registration.instance;
+        orders.stops = {run};
+        tracker.apply_orders(orders, now());
+    }
+
+    /// Sends the ordered start; the runner confirms it when its clock shows `clock_ms`.
+    void confirm_start(std::int64_t clock_ms) {
+        REQUIRE(tracker.next_start(now()).has_value());
+        tracker.start_done(run, clock_ms);
+    }
+
     std::vector<rejected_run> rejected() { return tracker.make_report("vm", now()).rejected; }
 
     run_tracker tracker;
@@ -42,8 +58,54 @@
     milliseconds time{10000};
 };
 
+/// The most ends that a runner returns in one answer.
+constexpr std::size_t full_list = 500;
+
+/// Ends of runs of another job, numbered from one.
+std::vector<ended_run> ends_of_others(std::size_t count) {
+    std::vector<ended_run> ends;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        const task_ref task{"other", 0, 0, static_cast<std::uint32_t>(number)};
+        ends.push_back({number, {task, 1}, run_outcome::done, ""});
+    }
+    return ends;
+}
+
 } // namespace
 
+// Guards against a task that runs twice because its end is beyond the ends that its runner returns
+// at a time, and its run is taken for one that the runner does not have.
+TEST_CASE("a run that is not in a full list of ends is not rejected") {
+    ready_agent agent;
+    agent.order_start(milliseconds(8000));
+    agent.confirm_start(5);
+    agent.tracker.apply_lists(10, {}, ends_of_others(full_list), agent.now());
+    CHECK(agent.rejected().empty());
+}
+
+// Guards against the same after the run was ordered to stop: its end may be beyond the list.
+TEST_CASE("a stopped run that is not in a full list of ends is not rejected") {
+    ready_agent agent;
+    agent.order_start(milliseconds(8000));
+    agent.confirm_start(5);
+    agent.order_stop();
+    REQUIRE(agent.tracker.next_stop() == agent.run);
+    agent.tracker.stop_done(agent.run, 7);
+    agent.tracker.apply_lists(10, {}, ends_of_others(full_list), agent.now());
+    CHECK(agent.rejected().empty());
+}
+
+// Guards against a task that waits for good because the runner has never had its run.
+TEST_CASE("a run that is not in a list with room for more ends is rejected") {
+    ready_agent agent;
+    agent.order_start(milliseconds(8000));
+    agent.confirm_start(5);
+    agent.tracker.apply_lists(10, {}, ends_of_others(full_list - 1), agent.now());
+    const std::vector<rejected_run> rejected = agent.rejected();
+    REQUIRE(rejected.size() == 1);
+    CHECK(rejected.front().reason == "not_there");
+}
+
 // Guards against a task that starts in a failure domain after it was closed, because the order for
 // it was held up on its way or waited in the agent.
 TEST_CASE("a start that its leader allowed only for a time is rejected after that time") {
--- a/packages/runtime/tests/http/http_call_test.cpp
+++ b/packages/runtime/tests/http/http_call_test.cpp
@@ -182,6 +182,26 @@
     CHECK(std::get<http_failure>(*result) == http_failure::refused);
 }
 
+// Guards against tasks that run twice, because a reset of a connection that was accepted is taken
+// for a server that has exited.
+TEST_CASE("a connection that is reset once it is open is not reported as refused") {
+    event_loop loop;
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    http_client client(loop, {"127.0.0.1", server.address().port()});
+    std::optional<http_result> result;
+    client.call(get("/"), milliseconds(2000),
+                [&result](http_result&& answer) { result = std::move(answer); });
+    {
+        // The reset arrives before the client's loop has seen that the connection is open.
+        Poco::Net::StreamSocket connection = server.acceptConnection();
+        connection.setLinger(true, 0);
+        connection.close();
+    }
+    run_until(loop, [&result] { return result.has_value(); });
+    REQUIRE(result.has_value());
+    CHECK(std::get<http_failure>(*result) != http_failure::refused);
+}
+
 // Pattern: a burst of calls to one server. Guards against connections beyond the server's limit,
 // which it resets, so that it is not known which calls had an effect.
 TEST_CASE("calls beyond the limit of connections wait and are sent in order") {
