core, daemon: logs say what shows that a runner has ended

Reports now carry the evidence (deregistered, lease_ended, connection_refused, other_instance), and the leader's line 'Gave up a run.' names it with the runner and the age of its report. The agent's line 'The runner has ended.' adds how many runs were active and whether their lease had ended. Ignored calls are logged with their path, and a new decision, second_run, counts a run that was given up and is listed again: it must not occur.

--- a/packages/core/include/egretstile/core/job/decision.hpp
+++ b/packages/core/include/egretstile/core/job/decision.hpp
@@ -17,6 +17,7 @@
     run_missing,
     give_up_run,
     stop_unknown_run,
+    second_run,
     job_done,
     job_failed,
     job_cancelled,
@@ -27,7 +28,7 @@
 };
 
 /// Names in metrics.
-inline constexpr std::array<enum_name<decision_kind>, 14> decision_kind_names{
+inline constexpr std::array<enum_name<decision_kind>, 15> decision_kind_names{
     {{decision_kind::start_task, "start_task"},
      {decision_kind::step_waits, "step_waits"},
      {decision_kind::move_task, "move_task"},
@@ -35,6 +36,7 @@
      {decision_kind::run_missing, "run_missing"},
      {decision_kind::give_up_run, "give_up_run"},
      {decision_kind::stop_unknown_run, "stop_unknown_run"},
+     {decision_kind::second_run, "second_run"},
      {decision_kind::job_done, "job_done"},
      {decision_kind::job_failed, "job_failed"},
      {decision_kind::job_cancelled, "job_cancelled"},
@@ -44,7 +46,7 @@
      {decision_kind::starts_resumed, "starts_resumed"}}};
 
 /// Log messages. The command `egretstile logs` matches the beginnings of some of them.
-inline constexpr std::array<enum_name<decision_kind>, 14> decision_messages{
+inline constexpr std::array<enum_name<decision_kind>, 15> decision_messages{
     {{decision_kind::start_task, "Starts a task."},
      {decision_kind::step_waits, "A step waits: no VM has room for its next task."},
      {decision_kind::move_task, "Moves a task that makes no progress."},
@@ -52,6 +54,7 @@
      {decision_kind::run_missing, "An agent rejected a run that was assigned to its VM."},
      {decision_kind::give_up_run, "Gave up a run."},
      {decision_kind::stop_unknown_run, "Stops a run of an unknown task."},
+     {decision_kind::second_run, "Stops a run that was given up but goes on."},
      {decision_kind::job_done, "A job is done."},
      {decision_kind::job_failed, "A job failed: a task used up its attempts."},
      {decision_kind::job_cancelled, "Cancelled a job."},
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -198,7 +199,7 @@
     void apply_active_run(vm_state& vm, const active_run& active, boot_time now);
     void apply_rejected_runs(vm_state& vm, const vm_report& report, boot_time now);
     void stop_missing_runs(vm_state& vm, const vm_report& report, boot_time now);
-    void give_up_runs(vm_state& vm, boot_time now, const char* reason);
+    void give_up_runs(vm_state& vm, boot_time now, std::string_view reason);
     /// Drops a run that will not report an end. Its task waits again and is not started before
     /// `retry_at`.
     void release_run(vm_state& vm, const task_attempt& run, boot_time retry_at, boot_time now);
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -52,9 +52,8 @@
 
     /// Applies a registration of the runner. Clears the state of the runner when it was restarted.
     void apply_registration(const runner_registration& registration);
-    /// Records that the runner has deregistered, or that its last lease has ended without an
-    /// answer.
-    void mark_runner_gone();
+    /// Records that the registered runner has ended. Precondition: `evidence` is not `none`.
+    void mark_runner_gone(runner_end_evidence evidence);
 
     /// Applies orders of the leader. False when they are of an earlier epoch and were ignored.
     bool apply_orders(const vm_orders& orders, boot_time now);
@@ -140,7 +139,7 @@
     epoch_number epoch_{0};
     runner_registration registration_;
     bool lists_known_{false};
-    bool runner_gone_{false};
+    runner_end_evidence runner_end_{runner_end_evidence::none};
     std::vector<active_run> active_;
     std::vector<ended_run> ended_;
     std::map<task_attempt, pending_start> starts_;
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -42,9 +42,8 @@
     /// Whether the agent has read the runner's lists lately. When false, the lists below must not
     /// be used.
     bool lists_known{false};
-    /// The runner has deregistered, or does not answer and its last lease has ended: no task runs
-    /// on it.
-    bool lapsed{false};
+    /// What shows that no task runs on the registered runner any more; `none`: tasks may run.
+    runner_end_evidence runner_end{runner_end_evidence::none};
     std::vector<active_run> active;
     /// Starts that the runner has not answered yet.
     std::vector<task_attempt> starting;
@@ -53,6 +52,9 @@
     /// The agent's estimates of the pressure between images, in the first report on a connection,
     /// because a new leader has none.
     std::vector<image_pressure> pressures;
+
+    /// Whether the registered runner has ended. Thread-safe.
+    bool has_runner_ended() const { return runner_end != runner_end_evidence::none; }
 };
 
 /// Orders from the leader to one agent.
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -16,6 +16,10 @@
            field("attempt", std::to_string(run.attempt)) + field("vm", vm);
 }
 
+std::int64_t age_ms(boot_time from, boot_time now) {
+    return std::chrono::duration_cast<milliseconds>(now - from).count();
+}
+
 bool is_done(const job_entry& job) {
     return std::all_of(job.occurrences.begin(), job.occurrences.end(),
                        [](const occurrence_state& occurrence) {
@@ -90,24 +94,27 @@
         vm.usable = false;
         return false;
     }
-    if (report.lapsed ||
-        (vm.runner.instance != report.runner.instance && !report.runner.instance.empty())) {
-        give_up_runs(vm, now, report.lapsed ? "lapsed" : "runner_restarted");
+    const bool restarted = vm.runner.instance != report.runner.instance;
+    if (report.has_runner_ended() || restarted) {
+        give_up_runs(vm, now,
+                     name_of(runner_end_evidence_names, report.has_runner_ended()
+                                                            ? report.runner_end
+                                                            : runner_end_evidence::other_instance));
     }
-    if (vm.runner.instance != report.runner.instance) {
+    if (restarted) {
         vm.last_end = 0;
         vm.acknowledged_end = 0;
         vm.unacknowledged.clear();
     }
-    if (report.lapsed) {
+    if (report.has_runner_ended()) {
         vm.may_run_until = now;
         vm.lapsed_since = vm.lapsed_since == boot_time() ? now : vm.lapsed_since;
     } else {
         vm.lapsed_since = boot_time();
     }
     vm.runner = report.runner;
-    vm.usable = report.lists_known && !report.lapsed;
-    if (report.lapsed) {
+    vm.usable = report.lists_known && !report.has_runner_ended();
+    if (report.has_runner_ended()) {
         expected_vms_.erase(report.vm);
     }
     if (!vm.usable) {
@@ -244,6 +251,7 @@
     }
     const step_spec& step = step_of(*job, active.run.task);
     task->progress.last_attempt = std::max(task->progress.last_attempt, active.run.attempt);
+    const bool new_here = vm.runs.count(active.run) == 0;
     vm.add_run(active.run, needs_of(step));
     tracked_run* tracked = find_run(active.run);
     const bool should_run = !is_final(job->state) && !task->progress.done;
@@ -258,6 +266,12 @@
             job->state = job_state::running;
         }
     }
+    if (new_here && tracked == nullptr && should_run) {
+        record_decision(decision_kind::second_run,
+                        fields_of(active.run, vm.name) +
+                            field("other_vm", task->runs.front().vm) +
+                            field("other_attempt", std::to_string(task->runs.front().attempt)));
+    }
     if (tracked == nullptr || tracked->vm != vm.name || !should_run) {
         order_stop(vm, active.run, now);
         return;
@@ -308,11 +322,13 @@
     }
 }
 
-void job_scheduler::give_up_runs(vm_state& vm, boot_time now, const char* reason) {
+void job_scheduler::give_up_runs(vm_state& vm, boot_time now, std::string_view reason) {
     while (!vm.runs.empty()) {
         const task_attempt run = vm.runs.begin()->first;
         record_decision(decision_kind::give_up_run,
-                        fields_of(run, vm.name) + field("reason", reason));
+                        fields_of(run, vm.name) + field("reason", std::string(reason)) +
+                            field("runner", vm.runner.instance) +
+                            field("report_age_ms", std::to_string(age_ms(vm.last_report_at, now))));
         release_run(vm, run, now, now);
     }
     outboxes_.erase(vm.name);
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -27,7 +27,7 @@
 void run_tracker::apply_registration(const runner_registration& registration) {
     if (registration.instance != registration_.instance) {
         clear_runner_state();
-        runner_gone_ = false;
+        runner_end_ = runner_end_evidence::none;
         urgent_change_ = true;
     }
     if (registration.state != registration_.state) {
@@ -36,10 +36,10 @@
     registration_ = registration;
 }
 
-void run_tracker::mark_runner_gone() {
+void run_tracker::mark_runner_gone(runner_end_evidence evidence) {
     clear_runner_state();
     registration_.state = runner_state::absent;
-    runner_gone_ = true;
+    runner_end_ = evidence;
     urgent_change_ = true;
 }
 
@@ -221,7 +221,7 @@
     ended_ = std::move(ended);
     urgent_change_ = urgent_change_ || new_end || !lists_known_;
     lists_known_ = true;
-    runner_gone_ = false;
+    runner_end_ = runner_end_evidence::none;
     for (auto pending = starts_.begin(); pending != starts_.end();) {
         pending = is_listed(pending->first) ? starts_.erase(pending) : std::next(pending);
     }
@@ -284,7 +284,7 @@
     report.applied_order_number = applied_order_number_;
     report.runner = registration_;
     report.lists_known = lists_known_ && !is_silent(now);
-    report.lapsed = runner_gone_;
+    report.runner_end = runner_end_;
     report.active = active_;
     for (const auto& [run, pending] : starts_) {
         report.starting.push_back(run);
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -351,7 +351,7 @@
     const boot_time silent = vm.now() + milliseconds(5000);
     vm.scheduler.confirm_leadership(silent);
     CHECK(vm.scheduler.idle_vms(silent).empty());
-    vm.report.lapsed = true;
+    vm.report.runner_end = runner_end_evidence::lease_ended;
     vm.exchange();
     const boot_time later = vm.now() + milliseconds(5000);
     vm.scheduler.confirm_leadership(later);
@@ -390,12 +390,12 @@
 TEST_CASE("a VM is listed for removal 1 s after its runner is gone, unless the runner comes back") {
     one_vm vm;
     vm.exchange();
-    vm.report.lapsed = true;
+    vm.report.runner_end = runner_end_evidence::lease_ended;
     vm.exchange();
     CHECK(vm.scheduler.idle_vms(vm.now()).empty());
     const boot_time later = vm.now() + milliseconds(1000);
     CHECK(vm.scheduler.idle_vms(later) == std::vector<vm_name>{"vm"});
-    vm.report.lapsed = false;
+    vm.report.runner_end = runner_end_evidence::none;
     vm.exchange();
     CHECK(vm.scheduler.idle_vms(later).empty());
 }
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -106,16 +106,18 @@
     response.body = "{}";
     if (const malformed_call* const malformed = std::get_if<malformed_call>(&call)) {
         write_log(log_part::worker, log_level::warning, "Ignored a call of the runner.",
-                  "reason=\"" + malformed->reason + "\"");
+                  "reason=\"" + malformed->reason + "\" path=" + request.path +
+                      " bytes=" + std::to_string(request.body.size()) +
+                      " registered=" + registered_runner_.id());
         response.status = 400;
     } else if (const runner_deregistration* const departure =
                    std::get_if<runner_deregistration>(&call)) {
         write_log(log_part::worker, log_level::info,
                   "The runner announced that it is shutting down.",
-                  "runner=" + departure->runner_id);
+                  "runner=" + departure->runner_id + " registered=" + registered_runner_.id() +
+                      " bytes=" + std::to_string(request.body.size()));
         if (departure->runner_id == registered_runner_.id()) {
-            tracker_.mark_runner_gone();
-            schedule_report();
+            mark_runner_gone(runner_end_evidence::deregistered);
         }
     } else {
         handle_heartbeat(std::get<runner_heartbeat>(call));
@@ -292,15 +294,21 @@
     const bool unreachable =
         refusal == runner_refusal::no_answer || refusal == runner_refusal::not_sent;
     if (has_ended || (unreachable && tracker_.lists_known() && tracker_.has_lapsed(boot_now()))) {
-        write_log(log_part::worker, log_level::warning,
-                  has_ended ? "The runner's process has ended."
-                            : "The last lease of an unreachable runner has ended.",
-                  "runner=" + registered_runner_.id());
-        tracker_.mark_runner_gone();
-        schedule_report();
+        mark_runner_gone(has_ended ? runner_end_evidence::connection_refused
+                                   : runner_end_evidence::lease_ended);
     }
 }
 
+void job_agent_process::mark_runner_gone(runner_end_evidence evidence) {
+    write_log(log_part::worker, log_level::warning, "The runner has ended.",
+              "runner=" + tracker_.registration().instance +
+                  " evidence=" + std::string(name_of(runner_end_evidence_names, evidence)) +
+                  " active=" + std::to_string(tracker_.active().size()) +
+                  " lease_ended=" + (tracker_.has_lapsed(boot_now()) ? "1" : "0"));
+    tracker_.mark_runner_gone(evidence);
+    schedule_report();
+}
+
 std::vector<guarded_run> job_agent_process::guarded_runs() const {
     std::vector<guarded_run> runs;
     for (const active_run& active : tracker_.active()) {
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -57,6 +57,8 @@
     void renew();
     void handle_lists(infrastructure::runner_lists&& lists);
     void handle_renewal_failure(infrastructure::runner_refusal refusal);
+    /// Reports that the registered runner has ended. Precondition: `evidence` is not `none`.
+    void mark_runner_gone(runner_end_evidence evidence);
     std::vector<guarded_run> guarded_runs() const;
     void guard_latency();
     void send_report();
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -253,7 +253,7 @@
         return;
     }
     if (!scheduler_.is_registered(report.vm)) {
-        if (report.lapsed) {
+        if (report.has_runner_ended()) {
             // No task can start there, so the VM is not registered. The orders only make the agent
             // follow this leader.
             handlers_.send(report.vm, scheduler_.take_orders(report.vm, 0));
@@ -262,7 +262,7 @@
         }
         return;
     }
-    if (silent_vms_.count(report.vm) != 0 && !report.lapsed) {
+    if (silent_vms_.count(report.vm) != 0 && !report.has_runner_ended()) {
         register_vm(report.vm);
         return;
     }
--- a/packages/daemon/tests/jobs/job_leader_test.cpp
+++ b/packages/daemon/tests/jobs/job_leader_test.cpp
@@ -65,7 +65,7 @@
     report.epoch = epoch - 1;
     report.sequence = 7;
     report.runner.instance = "runner@1";
-    report.lapsed = true;
+    report.runner_end = runner_end_evidence::lease_ended;
     return report;
 }
 
