daemon: claims about a runner are believed once its address confirms them

Cause: the agent believed single claims. A deregistration, whose body was not read, and a heartbeat of another process each dropped all state of the registered runner at once; the leader then started its tasks elsewhere. Both can be delayed from an earlier process with the same id or come from another writer. An agent that was restarted reported the first heartbeat that it got in the same way.

Ruled out: two leaders (one epoch in the record), silence (the leases of the first runs had not ended).

Change: registered_runner is the one place that decides whether a runner has ended. A heartbeat of another instance and a deregistration are remembered, and the runner's address is called at once, beside a renewal that is under way. An answer that states another start time, or refused connections (one after a deregistration, else two in a row; before: one after any two failures), or the end of the last lease without an answer show that the runner has ended; nothing else does. A call that was sent before another one that has been answered says nothing. A deregistration that states another start time is ignored.

--- a/packages/core/include/egretstile/core/job/runner_types.hpp
+++ b/packages/core/include/egretstile/core/job/runner_types.hpp
@@ -61,15 +61,13 @@
 /// What shows that the process of a runner has ended, so that none of its runs goes on.
 enum class runner_end_evidence : std::uint8_t {
     none,               ///< Nothing does; its runs may go on.
-    deregistered,       ///< Its agent got a call that says so.
     lease_ended,        ///< It does not answer, and its last lease has ended.
     connection_refused, ///< Nothing listens at its address.
-    other_instance      ///< Another process is registered at its address.
+    other_instance      ///< Another process answers at its address.
 };
 
-inline constexpr std::array<enum_name<runner_end_evidence>, 5> runner_end_evidence_names{
+inline constexpr std::array<enum_name<runner_end_evidence>, 4> runner_end_evidence_names{
     {{runner_end_evidence::none, "none"},
-     {runner_end_evidence::deregistered, "deregistered"},
      {runner_end_evidence::lease_ended, "lease_ended"},
      {runner_end_evidence::connection_refused, "connection_refused"},
      {runner_end_evidence::other_instance, "other_instance"}}};
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -268,8 +268,7 @@
     }
     if (new_here && tracked == nullptr && should_run) {
         record_decision(decision_kind::second_run,
-                        fields_of(active.run, vm.name) +
-                            field("other_vm", task->runs.front().vm) +
+                        fields_of(active.run, vm.name) + field("other_vm", task->runs.front().vm) +
                             field("other_attempt", std::to_string(task->runs.front().attempt)));
     }
     if (tracked == nullptr || tracked->vm != vm.name || !should_run) {
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -29,9 +29,8 @@
 /// Shortest time between two renewals while ended runs wait for their acknowledgement.
 constexpr milliseconds unacknowledged_renewal_delay{25};
 constexpr milliseconds pending_action_interval{30};
-/// After this many consecutive failures, a refused connection shows that the runner's process has
-/// ended.
-constexpr std::uint64_t ended_runner_failures = 3;
+/// A claim about the runner that is not decided yet is checked again after this time.
+constexpr milliseconds claim_check_interval{100};
 /// A runner's heartbeat has less than a kilobyte; parsing takes many times the memory of the body.
 constexpr std::size_t max_heartbeat_bytes = std::size_t{64} * 1024;
 /// Interval at which the control keys are read again while the agent is not connected to a leader.
@@ -112,12 +111,16 @@
         response.status = 400;
     } else if (const runner_deregistration* const departure =
                    std::get_if<runner_deregistration>(&call)) {
+        const bool applies = registered_runner_.apply_departure(*departure);
         write_log(log_part::worker, log_level::info,
-                  "The runner announced that it is shutting down.",
-                  "runner=" + departure->runner_id + " registered=" + registered_runner_.id() +
+                  applies ? "The runner announced that it is shutting down."
+                          : "Ignored a deregistration of another runner.",
+                  "runner=" + departure->runner_id +
+                      " born_ms=" + std::to_string(departure->instance_start_ms) +
+                      " registered=" + tracker_.registration().instance +
                       " bytes=" + std::to_string(request.body.size()));
-        if (departure->runner_id == registered_runner_.id()) {
-            mark_runner_gone(runner_end_evidence::deregistered);
+        if (applies) {
+            check_claim();
         }
     } else {
         handle_heartbeat(std::get<runner_heartbeat>(call));
@@ -126,24 +129,38 @@
 }
 
 void job_agent_process::handle_heartbeat(const runner_heartbeat& heartbeat) {
-    const heartbeat_verdict verdict = registered_runner_.apply(heartbeat);
-    if (verdict == heartbeat_verdict::stale) {
+    switch (registered_runner_.apply(heartbeat)) {
+    case heartbeat_verdict::stale:
         return;
+    case heartbeat_verdict::unconfirmed:
+        write_log(log_part::worker, log_level::info,
+                  "A runner that has not answered a call sent a heartbeat.",
+                  "runner=" + heartbeat.registration.instance +
+                      " registered=" + tracker_.registration().instance);
+        check_claim();
+        return;
+    case heartbeat_verdict::refreshed:
+        tracker_.apply_registration(heartbeat.registration);
+        break;
+    case heartbeat_verdict::replaced:
+        take_registered_runner();
+        break;
     }
-    if (verdict == heartbeat_verdict::replaced) {
-        write_log(log_part::worker, log_level::info, "A runner registered.",
-                  "runner=" + heartbeat.runner_id +
-                      " born_ms=" + std::to_string(heartbeat.instance_start_ms) +
-                      " service=" + heartbeat.registration.service);
-        consecutive_renewal_failures_ = 0;
-    }
-    tracker_.apply_registration(heartbeat.registration);
     renew();
     if (tracker_.take_urgent_change()) {
         schedule_report();
     }
 }
 
+void job_agent_process::take_registered_runner() {
+    const runner_heartbeat& heartbeat = registered_runner_.heartbeat();
+    write_log(log_part::worker, log_level::info, "A runner registered.",
+              "runner=" + heartbeat.runner_id +
+                  " born_ms=" + std::to_string(heartbeat.instance_start_ms) + " service=" +
+                  heartbeat.registration.service + " former=" + tracker_.registration().instance);
+    tracker_.apply_registration(heartbeat.registration);
+}
+
 void job_agent_process::apply_orders(const vm_orders& orders) {
     if (!tracker_.apply_orders(orders, boot_now())) {
         return;
@@ -158,6 +175,10 @@
     send_starts();
     send_stops();
     renew();
+    if (registered_runner_.has_open_claim() &&
+        boot_now() >= claim_checked_at_ + claim_check_interval) {
+        check_claim();
+    }
     if (tracker_.take_urgent_change() || boot_now() >= reported_at_ + report_interval) {
         schedule_report();
     }
@@ -245,34 +266,67 @@
         tracker_.registration().state == runner_state::absent) {
         return;
     }
-    renewing_ = true;
     renewed_at_ = boot_now();
     lease_renewal renewal;
     renewal.lease_until_ms = tracker_.lease_until_ms(boot_now()).value_or(0);
     renewal.acknowledged_ends = tracker_.acknowledged_ends();
     renewal.wait = tracker_.lists_known() ? renewal_wait : milliseconds(0);
+    read_lists(renewal, &job_agent_process::renewing_);
+}
+
+void job_agent_process::check_claim() {
+    if (checking_claim_ || tracker_.epoch() == 0) {
+        return;
+    }
+    claim_checked_at_ = boot_now();
+    read_lists({}, &job_agent_process::checking_claim_);
+}
+
+void job_agent_process::read_lists(const lease_renewal& renewal,
+                                   bool job_agent_process::*in_flight) {
+    this->*in_flight = true;
+    const std::uint64_t number = ++list_calls_;
     const std::string instance = tracker_.registration().instance;
-    runner_->renew(renewal, tracker_.epoch(),
-                   [this, instance](std::variant<runner_lists, runner_refusal>&& answer) {
-                       renewing_ = false;
-                       count_call(runner_call::renew, answer);
-                       if (instance != tracker_.registration().instance) {
-                           return;
-                       }
-                       if (const runner_refusal* const refusal =
-                               std::get_if<runner_refusal>(&answer)) {
-                           handle_renewal_failure(*refusal);
-                       } else {
-                           handle_lists(std::get<runner_lists>(std::move(answer)));
-                       }
-                   });
+    runner_->renew(
+        renewal, tracker_.epoch(),
+        [this, in_flight, number, instance](std::variant<runner_lists, runner_refusal>&& answer) {
+            this->*in_flight = false;
+            count_call(runner_call::renew, answer);
+            if (number < answered_list_call_) {
+                return; // A later call has been answered, perhaps by another instance.
+            }
+            if (const runner_refusal* const refusal = std::get_if<runner_refusal>(&answer)) {
+                if (instance == tracker_.registration().instance) {
+                    handle_renewal_failure(*refusal);
+                }
+            } else {
+                answered_list_call_ = number;
+                handle_lists(std::get<runner_lists>(std::move(answer)), instance);
+            }
+        });
 }
 
-void job_agent_process::handle_lists(runner_lists&& lists) {
-    consecutive_renewal_failures_ = 0;
-    registered_runner_.observe_answer(lists.instance_start_ms);
-    if (lists.instance_start_ms != 0 && !registered_runner_.started_at(lists.instance_start_ms)) {
-        return; // Lists of a runner process that has not registered yet.
+void job_agent_process::handle_lists(runner_lists&& lists, const std::string& instance) {
+    const bool had_open_claim = registered_runner_.has_open_claim();
+    switch (registered_runner_.observe_answer(lists.instance_start_ms)) {
+    case answer_verdict::registered:
+        if (had_open_claim && !registered_runner_.has_open_claim()) {
+            write_log(log_part::worker, log_level::info,
+                      "The registered runner answers; the heartbeat of another one is ignored.",
+                      "runner=" + tracker_.registration().instance);
+        }
+        if (instance != tracker_.registration().instance) {
+            return;
+        }
+        break;
+    case answer_verdict::replaced:
+        take_registered_runner();
+        break;
+    case answer_verdict::unknown:
+        if (tracker_.registration().state != runner_state::absent) {
+            mark_runner_gone(runner_end_evidence::other_instance);
+        }
+        return;
     }
     tracker_.apply_lists(lists.clock_ms, std::move(lists.active), std::move(lists.ended),
                          boot_now());
@@ -285,17 +339,15 @@
 }
 
 void job_agent_process::handle_renewal_failure(runner_refusal refusal) {
-    if (consecutive_renewal_failures_++ == 0) {
+    const runner_end_evidence evidence = registered_runner_.observe_failure(
+        refusal, tracker_.lists_known() && tracker_.has_lapsed(boot_now()));
+    if (registered_runner_.consecutive_failures() == 1) {
         write_log(log_part::worker, log_level::warning, "Cannot renew the lease of the runner.",
                   "reason=" + std::string(name_of(runner_refusal_names, refusal)));
     }
-    const bool has_ended = refusal == runner_refusal::not_running &&
-                           consecutive_renewal_failures_ >= ended_runner_failures;
-    const bool unreachable =
-        refusal == runner_refusal::no_answer || refusal == runner_refusal::not_sent;
-    if (has_ended || (unreachable && tracker_.lists_known() && tracker_.has_lapsed(boot_now()))) {
-        mark_runner_gone(has_ended ? runner_end_evidence::connection_refused
-                                   : runner_end_evidence::lease_ended);
+    if (evidence != runner_end_evidence::none &&
+        tracker_.registration().state != runner_state::absent) {
+        mark_runner_gone(evidence);
     }
 }
 
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -55,7 +55,15 @@
                                                 infrastructure::runner_refusal>& answer);
     void send_stops();
     void renew();
-    void handle_lists(infrastructure::runner_lists&& lists);
+    /// Calls the runner without extending its lease, to learn which instance answers.
+    void check_claim();
+    /// Reads the runner's lists; `in_flight` is set until there is an answer.
+    void read_lists(const infrastructure::lease_renewal& renewal,
+                    bool job_agent_process::*in_flight);
+    /// `instance` is the one that was registered when the lists were requested.
+    void handle_lists(infrastructure::runner_lists&& lists, const std::string& instance);
+    /// Takes the runner that `registered_runner_` has newly registered.
+    void take_registered_runner();
     void handle_renewal_failure(infrastructure::runner_refusal refusal);
     /// Reports that the registered runner has ended. Precondition: `evidence` is not `none`.
     void mark_runner_gone(runner_end_evidence evidence);
@@ -99,9 +107,13 @@
     registered_runner registered_runner_;
     bool renewing_{false};
     boot_time renewed_at_{};
+    bool checking_claim_{false};
+    boot_time claim_checked_at_{};
+    /// Numbers of the last call for the runner's lists, and of the latest one that was answered.
+    std::uint64_t list_calls_{0};
+    std::uint64_t answered_list_call_{0};
     bool report_scheduled_{false};
     boot_time reported_at_{};
-    std::uint64_t consecutive_renewal_failures_{0};
 };
 
 } // namespace egretstile::daemon
--- a/packages/infrastructure/include/egretstile/infrastructure/runner/registration_protocol.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/runner/registration_protocol.hpp
@@ -22,6 +22,8 @@
 /// The runner deregisters because it stops now.
 struct runner_deregistration {
     std::string runner_id;
+    /// Start time of the instance as in `runner_heartbeat`; zero: the call does not state it.
+    std::int64_t instance_start_ms{0};
 };
 
 /// The call is none of the above or cannot be decoded.
