runtime: report the kinds of failed calls apart

Callers saw a reset of a new connection as `refused`.

Cause: the HTTP client reported every error that it saw before the connection was open as `refused`, without asking the kernel which error it was. A connect that failed at once was reported as not sent, whatever its reason.

Ruled out: that the kernel cannot tell these cases apart. SO_ERROR is ECONNRESET after the reset of an accepted connection, also when the loop has not yet seen that it is open, and ECONNREFUSED only when the connect itself was refused.

Change: `http_failure` says why a call failed (`http_failure_kind`: refused, reset, timed_out, closed, unresolved, no_connection, malformed) and whether a byte of it was sent. The kind comes from SO_ERROR or from the code of the exception. The first error of a write is kept, because the socket reads as closed after it. A connect that fails at once goes the same way as one that fails later; its callback is no longer called after the client is destroyed.

Checks of the old values now check kind and `sent`: no_answer, which all came from time-outs, is timed_out and sent; not_sent for lack of a connection is no_connection and not sent; refused is refused and not sent.

--- a/packages/runtime/include/egretstile/runtime/http/http_client.hpp
+++ b/packages/runtime/include/egretstile/runtime/http/http_client.hpp
@@ -18,19 +18,34 @@
 
 namespace egretstile {
 
-/// Reason why a call has no valid response.
-enum class http_failure : std::uint8_t {
-    refused,   ///< No connection, for example nothing listens: the call had no effect.
-    not_sent,  ///< No byte of the request was sent: the call had no effect.
-    no_answer, ///< Sent without a response: the call may have had an effect, or have one later.
-    malformed  ///< The response cannot be parsed or uses chunked transfer encoding.
+/// Reason why a call has no valid response. Only `refused` says that nothing listens at the
+/// server's address; after the other kinds the server may be running.
+enum class http_failure_kind : std::uint8_t {
+    refused,       ///< The host refused the connection.
+    reset,         ///< The connection was reset.
+    timed_out,     ///< Nothing was sent or received for the call's timeout, or for the kernel's.
+    closed,        ///< The server closed the connection before the response was complete.
+    unresolved,    ///< The server's address cannot be parsed or resolved.
+    no_connection, ///< No connection for another reason, for example no route or the limit reached.
+    malformed      ///< The response cannot be parsed or uses chunked transfer encoding.
 };
 
-inline constexpr std::array<enum_name<http_failure>, 4> http_failure_names{
-    {{http_failure::refused, "refused"},
-     {http_failure::not_sent, "not_sent"},
-     {http_failure::no_answer, "no_answer"},
-     {http_failure::malformed, "malformed"}}};
+inline constexpr std::array<enum_name<http_failure_kind>, 7> http_failure_kind_names{
+    {{http_failure_kind::refused, "refused"},
+     {http_failure_kind::reset, "reset"},
+     {http_failure_kind::timed_out, "timed_out"},
+     {http_failure_kind::closed, "closed"},
+     {http_failure_kind::unresolved, "unresolved"},
+     {http_failure_kind::no_connection, "no_connection"},
+     {http_failure_kind::malformed, "malformed"}}};
+
+/// A call without a valid response.
+struct http_failure {
+    http_failure_kind kind{http_failure_kind::no_connection};
+    /// Whether a byte of the request was sent: the call may then have had an effect, or have one
+    /// later. Otherwise it had none.
+    bool sent{false};
+};
 
 using http_result = std::variant<http_response, http_failure>;
 
@@ -63,7 +78,7 @@
     /// response is not mistaken for that of another call. The idle connections are closed too,
     /// because all connections of a VM can fall silent at the same time. A response that keeps
     /// arriving, for example a large one over a slow link, may take longer than `timeout`. A call
-    /// that gets no connection within `timeout` fails as not sent.
+    /// that waits for one of the limited connections for `timeout` fails with `no_connection`.
     void call(http_request&& request, milliseconds timeout, callback done);
 
 private:
@@ -79,7 +94,7 @@
 
     /// Whether a call can be sent now, on an idle connection or on a new one.
     bool has_free_connection() const;
-    /// Null when no connection can be opened. Precondition: `has_free_connection`.
+    /// A new connection when none is idle. Precondition: `has_free_connection`.
     std::shared_ptr<http_client_connection> idle_connection();
     void close_idle_connections();
     /// Precondition: `has_free_connection`.
--- a/packages/runtime/source/http/http_client.cpp
+++ b/packages/runtime/source/http/http_client.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -17,6 +19,31 @@
 constexpr std::size_t read_chunk_bytes = std::size_t{64} * 1024;
 constexpr std::string_view end_of_head = "\r\n\r\n";
 
+/// `error` is a value of `errno`.
+http_failure_kind kind_of(int error) {
+    switch (error) {
+    case ECONNREFUSED:
+        return http_failure_kind::refused;
+    case ECONNRESET:
+        return http_failure_kind::reset;
+    case ETIMEDOUT:
+        return http_failure_kind::timed_out;
+    case EPIPE:
+        // Linux reports a reset that follows the server's close as EPIPE.
+        return http_failure_kind::closed;
+    default:
+        return http_failure_kind::no_connection;
+    }
+}
+
+std::optional<Poco::Net::SocketAddress> resolve(const endpoint& server) {
+    try {
+        return Poco::Net::SocketAddress(server.host, server.port);
+    } catch (const Poco::Exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 /// One connection of an `http_client`.
@@ -26,17 +53,21 @@
         : client_(&client)
         , loop_(loop) {}
 
-    bool is_idle() const { return !closed_ && !done_; }
+    bool is_idle() const { return !closed_ && !done_ && !first_error_; }
 
-    /// Starts to connect; returns false when that fails at once.
-    bool open() {
+    /// Starts to connect. When that fails at once, the call that is sent next fails.
+    void open() {
+        const std::optional<Poco::Net::SocketAddress> address = resolve(client_->server_);
+        if (!address) {
+            first_error_ = http_failure_kind::unresolved;
+            return;
+        }
         try {
-            socket_.connectNB(
-                Poco::Net::SocketAddress(client_->server_.host, client_->server_.port));
+            socket_.connectNB(*address);
             socket_.setBlocking(false);
-        } catch (const Poco::Exception&) {
-            closed_ = true;
-            return false;
+        } catch (const Poco::Exception& error) {
+            first_error_ = kind_of(error.code());
+            return;
         }
         const std::weak_ptr<http_client_connection> self = weak_from_this();
         loop_.watch(socket_, Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_WRITE,
@@ -47,7 +78,6 @@
                         }
                     });
         wants_write_ = true;
-        return true;
     }
 
     void send(std::string&& bytes, milliseconds timeout, http_client::callback done) {
@@ -59,7 +89,9 @@
         timeout_ = timeout;
         last_progress_ = boot_now();
         schedule_timeout(call_number_);
-        if (connected_) {
+        if (first_error_) {
+            fail_later();
+        } else if (connected_) {
             write_pending();
         }
     }
@@ -82,7 +114,7 @@
             if (boot_now() >= connection->last_progress_ + connection->timeout_) {
                 connection->log_timeout();
                 connection->client_->close_idle_connections();
-                connection->fail();
+                connection->fail(http_failure_kind::timed_out);
             } else {
                 connection->schedule_timeout(call_number);
             }
@@ -102,19 +134,15 @@
     void handle_ready(int mode) {
         const std::shared_ptr<http_client_connection> self = shared_from_this();
         if (!closed_ && (mode & Poco::Net::PollSet::POLL_ERROR) != 0) {
-            if (connected_) {
-                fail();
-            } else {
-                finish(http_failure::refused, false);
-            }
+            fail(kind_of(socket_.impl()->socketError()));
             return;
         }
         if (!closed_ && (mode & Poco::Net::PollSet::POLL_WRITE) != 0) {
             if (!std::exchange(connected_, true)) {
                 try {
                     socket_.setNoDelay(true);
-                } catch (const Poco::Exception&) {
-                    fail();
+                } catch (const Poco::Exception& error) {
+                    fail(kind_of(error.code()));
                     return;
                 }
             }
@@ -131,11 +159,12 @@
             try {
                 const std::string_view rest = std::string_view(output_).substr(sent_);
                 written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
-            } catch (const Poco::TimeoutException&) {
-                written = 0;
-            } catch (const Poco::Exception&) {
-                fail_later();
-                return;
+            } catch (const Poco::Exception& error) {
+                if (error.code() != EAGAIN) {
+                    first_error_ = kind_of(error.code());
+                    fail_later();
+                    return;
+                }
             }
             if (written <= 0) {
                 break;
@@ -156,14 +185,14 @@
         int received = 0;
         try {
             received = socket_.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
-        } catch (const Poco::TimeoutException&) {
-            return;
-        } catch (const Poco::Exception&) {
-            fail();
+        } catch (const Poco::Exception& error) {
+            if (error.code() != EAGAIN) {
+                fail(kind_of(error.code()));
+            }
             return;
         }
         if (received == 0) {
-            fail();
+            fail(http_failure_kind::closed);
             return;
         }
         if (received > 0) {
@@ -188,7 +217,7 @@
             head_ = parse_response_head(
                 std::string_view(input_).substr(0, end + end_of_head.size()), response_);
             if (!head_ || head_->chunked) {
-                finish(http_failure::malformed, false);
+                fail(http_failure_kind::malformed);
                 return;
             }
         }
@@ -214,19 +243,20 @@
         }
     }
 
-    void fail() {
+    void fail(http_failure_kind kind) {
         if (closed_) {
             return;
         }
-        finish(sent_ == 0 ? http_failure::not_sent : http_failure::no_answer, false);
+        finish(http_failure{first_error_.value_or(kind), sent_ != 0}, false);
     }
 
-    /// Fails the call from the loop, because callbacks must not run inside `http_client::call`.
+    /// Fails the call with `first_error_` from the loop, because callbacks must not run inside
+    /// `http_client::call`. Precondition: `first_error_` is set.
     void fail_later() {
         const std::weak_ptr<http_client_connection> self = weak_from_this();
         loop_.post([self] {
             if (const std::shared_ptr<http_client_connection> connection = self.lock()) {
-                connection->fail();
+                connection->fail(*connection->first_error_);
             }
         });
     }
@@ -257,6 +287,8 @@
     std::uint64_t call_number_{0};
     milliseconds timeout_{0};
     boot_time last_progress_{};
+    /// Kept because the kernel reports an error once: the socket then reads as closed.
+    std::optional<http_failure_kind> first_error_;
     bool connected_{false};
     bool wants_write_{false};
     bool closed_{false};
@@ -290,12 +322,7 @@
 }
 
 void http_client::send(waiting_call&& call) {
-    const std::shared_ptr<http_client_connection> connection = idle_connection();
-    if (!connection) {
-        loop_.post([done = std::move(call.done)] { done(http_failure::not_sent); });
-        return;
-    }
-    connection->send(std::move(call.bytes), call.timeout, std::move(call.done));
+    idle_connection()->send(std::move(call.bytes), call.timeout, std::move(call.done));
 }
 
 void http_client::schedule_waiting_calls() {
@@ -330,7 +357,7 @@
         call = waiting_.erase(call);
     }
     for (const callback& done : expired) {
-        done(http_failure::not_sent);
+        done(http_failure{http_failure_kind::no_connection, false});
     }
 }
 
@@ -360,9 +387,7 @@
     }
     std::shared_ptr<http_client_connection> connection =
         std::make_shared<http_client_connection>(*this, loop_);
-    if (!connection->open()) {
-        return nullptr;
-    }
+    connection->open();
     connections_.push_back(connection);
     return connection;
 }
--- a/packages/runtime/tests/http/http_call_test.cpp
+++ b/packages/runtime/tests/http/http_call_test.cpp
@@ -91,7 +91,8 @@
     });
     run_until(loop, [&second] { return second.has_value(); });
     REQUIRE(first.has_value());
-    CHECK(std::get<http_failure>(*first) == http_failure::no_answer);
+    CHECK(std::get<http_failure>(*first).kind == http_failure_kind::timed_out);
+    CHECK(std::get<http_failure>(*first).sent);
     REQUIRE(second.has_value());
     CHECK(std::get<http_response>(*second).body == "second");
 }
@@ -161,7 +162,8 @@
     const boot_time sent_at = boot_now();
     run_until(loop, [&result] { return result.has_value(); });
     REQUIRE(result.has_value());
-    CHECK(std::get<http_failure>(*result) == http_failure::no_answer);
+    CHECK(std::get<http_failure>(*result).kind == http_failure_kind::timed_out);
+    CHECK(std::get<http_failure>(*result).sent);
     CHECK(boot_now() - sent_at < milliseconds(1400));
 }
 
@@ -179,7 +181,8 @@
                 [&result](http_result&& answer) { result = std::move(answer); });
     run_until(loop, [&result] { return result.has_value(); });
     REQUIRE(result.has_value());
-    CHECK(std::get<http_failure>(*result) == http_failure::refused);
+    CHECK(std::get<http_failure>(*result).kind == http_failure_kind::refused);
+    CHECK_FALSE(std::get<http_failure>(*result).sent);
 }
 
 // Guards against tasks that run twice, because a reset of a connection that was accepted is taken
@@ -199,7 +202,7 @@
     }
     run_until(loop, [&result] { return result.has_value(); });
     REQUIRE(result.has_value());
-    CHECK(std::get<http_failure>(*result) != http_failure::refused);
+    CHECK(std::get<http_failure>(*result).kind != http_failure_kind::refused);
 }
 
 // Pattern: a burst of calls to one server. Guards against connections beyond the server's limit,
@@ -251,8 +254,10 @@
     client.call(get("/second"), milliseconds(100), record);
     run_until(loop, [&failures] { return failures.size() == 2; });
     REQUIRE(failures.size() == 2);
-    CHECK(failures[0] == http_failure::not_sent);
-    CHECK(failures[1] == http_failure::no_answer);
+    CHECK(failures[0].kind == http_failure_kind::no_connection);
+    CHECK_FALSE(failures[0].sent);
+    CHECK(failures[1].kind == http_failure_kind::timed_out);
+    CHECK(failures[1].sent);
     CHECK(unanswered.size() == 1);
 }
 
--- a/packages/runtime/tests/http/silent_connection_test.cpp
+++ b/packages/runtime/tests/http/silent_connection_test.cpp
@@ -122,7 +122,8 @@
     });
     REQUIRE(server.accepted() >= connection_count);
     REQUIRE(first.has_value());
-    CHECK(std::get<http_failure>(*first) == http_failure::no_answer);
+    CHECK(std::get<http_failure>(*first).kind == http_failure_kind::timed_out);
+    CHECK(std::get<http_failure>(*first).sent);
     REQUIRE(second.has_value());
     CHECK(std::holds_alternative<http_response>(*second));
 }
