core: lists that are cut off decide nothing about the runs that they leave out

Cause: a runner returns 500 ends at a time. With more unacknowledged ends, the others are in no list, and the agent and the leader took their runs as missing: rejected as not there or as stopped before the start, and started elsewhere. A row of a list that cannot be read had the same effect.

Change: the adapter marks lists that are full, or of which a row or an array cannot be read, as incomplete. The tracker keeps the runs that they leave out and confirms no stop by them; the leader stops no run for them, and a new leader goes on expecting the VM. Starts are held back while a VM's runs and unacknowledged ends together reach the 500 of a list (obstacle too_many_ends), so that lists stay complete.

Weighed: only the limit on starts, which does not help a new leader that meets a full list; only the marks, which delay stops for the length of an outage. At 1,100 starts a second on 1,700 VMs, 9 s without the store leave some six ends on a VM; the limit counts only where a VM starts over 55 tasks a second.

--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -78,10 +78,9 @@
     void stop_done(const task_attempt& run, std::int64_t clock_ms);
     /// Records that the stop had no answer; it is sent again.
     void stop_unanswered(const task_attempt& run);
-    /// Applies the runner's lists. `clock_ms` is the runner's clock in the answer; lists that are
-    /// older than those applied before are ignored.
-    void apply_lists(std::int64_t clock_ms, std::vector<active_run>&& active,
-                     std::vector<ended_run>&& ended, boot_time now);
+    /// Applies the runner's lists; lists that are older than those applied before are ignored. A
+    /// run that is missing from lists that are not complete is kept as it was.
+    void apply_lists(run_lists&& lists, boot_time now);
 
     /// End of the lease to send with a call now, in milliseconds on the runner's clock; nothing
     /// when the leader's permission has ended or the runner's lists were not read within
@@ -129,6 +128,8 @@
     /// Longest time on this VM's clock until all tasks under a lease of this length have ended.
     milliseconds longest_lease(milliseconds length) const;
     void clear_runner_state();
+    /// Replaces the lists; keeps active runs that incomplete lists leave out.
+    void replace_lists(run_lists&& lists);
 
     bool is_silent(boot_time now) const { return now >= clock_read_at_ + settings_.silence_limit; }
 
@@ -139,13 +140,15 @@
     epoch_number epoch_{0};
     runner_registration registration_;
     bool lists_known_{false};
+    bool lists_complete_{false};
     runner_end_evidence runner_end_{runner_end_evidence::none};
     std::vector<active_run> active_;
     std::vector<ended_run> ended_;
     std::map<task_attempt, pending_start> starts_;
     std::map<task_attempt, pending_stop> stops_;
-    /// Runs whose start the runner has confirmed or refused as superseded, and its clock at that
-    /// time. A list that was read later shows whether the run is active, ended or missing.
+    /// Runs whose start the runner has confirmed or refused as superseded, or that are missing from
+    /// incomplete lists, and the runner's clock at that time. Complete lists that were read later
+    /// show whether the run is active, ended or missing.
     std::map<task_attempt, std::int64_t> confirmed_;
     std::map<task_attempt, start_order> attributes_;
     /// Rejected runs and the first report that contained them; zero: none yet.
--- a/packages/core/include/egretstile/core/job/runner_types.hpp
+++ b/packages/core/include/egretstile/core/job/runner_types.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/job/job_spec.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -11,6 +12,10 @@
 /// State of the task runner on a VM, as its agent reports it.
 namespace egretstile {
 
+/// Most ends that a runner returns in one answer. The ends beyond it follow when earlier ones were
+/// acknowledged.
+inline constexpr std::size_t max_listed_ends = 500;
+
 /// How a run ended.
 enum class run_outcome : std::uint8_t {
     done,
@@ -72,6 +77,18 @@
      {runner_end_evidence::connection_refused, "connection_refused"},
      {runner_end_evidence::other_instance, "other_instance"}}};
 
+/// All runs of a runner as it listed them.
+struct run_lists {
+    /// The runner's clock, in milliseconds, when it made the lists.
+    std::int64_t clock_ms{0};
+    std::vector<active_run> active;
+    /// Ends that have not been acknowledged.
+    std::vector<ended_run> ended;
+    /// Whether a run that is in neither list is not on the runner. False when the ends are cut off
+    /// or a row could not be read.
+    bool complete{true};
+};
+
 /// Properties of a runner, from its registration.
 struct runner_registration {
     /// Identifies one process of the runner; changes when the runner is restarted.
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -42,6 +42,9 @@
     /// Whether the agent has read the runner's lists lately. When false, the lists below must not
     /// be used.
     bool lists_known{false};
+    /// Whether a run that is in none of the lists below is not on the runner. When false, ends may
+    /// be missing that a later report contains.
+    bool lists_complete{true};
     /// What shows that no task runs on the registered runner any more; `none`: tasks may run.
     runner_end_evidence runner_end{runner_end_evidence::none};
     std::vector<active_run> active;
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -82,18 +82,20 @@
     closed_domain, ///< Its failure domain is out of service.
     excluded,      ///< It already runs the task, or is not on the requested rack.
     no_label,      ///< It lacks the required label.
+    too_many_ends, ///< Its runs and unacknowledged ends would not fit in the runner's lists.
     no_room,       ///< Its free resources do not cover the task's need.
     too_slow,      ///< A filling task would be too slow beside the tasks that run there.
     limit_per_vm   ///< It already runs the most tasks of the step that one VM may run.
 };
 
-inline constexpr std::array<enum_name<placement_obstacle>, 9> placement_obstacle_names{
+inline constexpr std::array<enum_name<placement_obstacle>, 10> placement_obstacle_names{
     {{placement_obstacle::none, "none"},
      {placement_obstacle::not_ready, "not_ready"},
      {placement_obstacle::other_service, "other_service"},
      {placement_obstacle::closed_domain, "closed_domain"},
      {placement_obstacle::excluded, "excluded"},
      {placement_obstacle::no_label, "no_label"},
+     {placement_obstacle::too_many_ends, "too_many_ends"},
      {placement_obstacle::no_room, "no_room"},
      {placement_obstacle::too_slow, "too_slow"},
      {placement_obstacle::limit_per_vm, "limit_per_vm"}}};
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -129,12 +129,20 @@
     apply_ends(vm, report, now);
     apply_active_runs(vm, report, now);
     apply_rejected_runs(vm, report, now);
-    stop_missing_runs(vm, report, now);
+    if (report.lists_complete) {
+        stop_missing_runs(vm, report, now);
+    }
     for (const image_pressure& learned : report.pressures) {
         pressures_.merge_pressure(learned);
     }
     observe_pressure(vm, report, now);
-    expected_vms_.erase(report.vm);
+    if (report.lists_complete) {
+        expected_vms_.erase(report.vm);
+    } else if (const auto expected = expected_vms_.find(report.vm);
+               expected != expected_vms_.end()) {
+        // The end of a run of an earlier leader may still be listed, as long as the VM reports.
+        expected->second = std::max(expected->second, vm.may_run_until);
+    }
     return true;
 }
 
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -45,6 +45,7 @@
 
 void run_tracker::clear_runner_state() {
     lists_known_ = false;
+    lists_complete_ = false;
     active_.clear();
     ended_.clear();
     starts_.clear();
@@ -204,8 +205,22 @@
     }
 }
 
-void run_tracker::apply_lists(std::int64_t clock_ms, std::vector<active_run>&& active,
-                              std::vector<ended_run>&& ended, boot_time now) {
+void run_tracker::replace_lists(run_lists&& lists) {
+    const std::vector<active_run> former = std::exchange(active_, std::move(lists.active));
+    ended_ = std::move(lists.ended);
+    lists_complete_ = lists.complete;
+    if (lists.complete) {
+        return;
+    }
+    for (const active_run& run : former) {
+        if (!is_listed(run.run)) {
+            confirmed_.emplace(run.run, clock_ms_);
+        }
+    }
+}
+
+void run_tracker::apply_lists(run_lists&& lists, boot_time now) {
+    const std::int64_t clock_ms = lists.clock_ms;
     if (lists_known_ && clock_ms < clock_ms_) {
         return; // A later answer on another connection has been applied already.
     }
@@ -215,10 +230,9 @@
         // A previous agent process of this VM may have given a lease immediately before.
         leased_until_ = now + longest_lease(settings_.runner_lease);
     }
-    const bool new_end =
-        !ended.empty() && (ended_.empty() || ended.back().number > ended_.back().number);
-    active_ = std::move(active);
-    ended_ = std::move(ended);
+    const bool new_end = !lists.ended.empty() &&
+                         (ended_.empty() || lists.ended.back().number > ended_.back().number);
+    replace_lists(std::move(lists));
     urgent_change_ = urgent_change_ || new_end || !lists_known_;
     lists_known_ = true;
     runner_end_ = runner_end_evidence::none;
@@ -226,18 +240,19 @@
         pending = is_listed(pending->first) ? starts_.erase(pending) : std::next(pending);
     }
     for (auto row = confirmed_.begin(); row != confirmed_.end();) {
-        if (row->second >= clock_ms) {
+        const bool listed = is_listed(row->first);
+        if (row->second >= clock_ms || (!listed && !lists_complete_)) {
             ++row;
             continue;
         }
-        if (!is_listed(row->first)) {
+        if (!listed) {
             reject(row->first, "not_there");
         }
         row = confirmed_.erase(row);
     }
     for (auto row = stops_.begin(); row != stops_.end();) {
         const bool has_ended = contains_run(ended_, row->first);
-        const bool absent = row->second.confirmed_at_ms &&
+        const bool absent = lists_complete_ && row->second.confirmed_at_ms &&
                             *row->second.confirmed_at_ms < clock_ms && !is_listed(row->first);
         if (!has_ended && !absent) {
             ++row;
@@ -284,6 +299,7 @@
     report.applied_order_number = applied_order_number_;
     report.runner = registration_;
     report.lists_known = lists_known_ && !is_silent(now);
+    report.lists_complete = lists_complete_;
     report.runner_end = runner_end_;
     report.active = active_;
     for (const auto& [run, pending] : starts_) {
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -199,6 +199,9 @@
     if (!has_label(vm, step.required_label)) {
         return placement_obstacle::no_label;
     }
+    if (vm.runs.size() + vm.unacknowledged.size() >= max_listed_ends) {
+        return placement_obstacle::too_many_ends;
+    }
     if (!fits(needs_of(step).reserved, vm.runner.capacity - vm.reserved)) {
         return placement_obstacle::no_room;
     }
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Few, so that lists are often incomplete.
+constexpr std::size_t max_model_ends = 3;
+
 constexpr std::int64_t step_ms = 20;
 constexpr std::int64_t report_interval_ms = 500;
 constexpr std::size_t runner_count = 5;
@@ -182,8 +185,7 @@
     }
     const std::int64_t lease = tracker.lease_until_ms(now()).value_or(0);
     if (runner(name).renew(lease, tracker.acknowledged_ends(), tracker.epoch())) {
-        tracker.apply_lists(runner(name).clock_ms(now_ms_), runner(name).active(),
-                            std::vector<ended_run>(runner(name).ended()), now());
+        tracker.apply_lists(runner(name).lists(max_model_ends, now_ms_), now());
     }
 }
 
--- a/packages/core/tests/job/model/model_runner.cpp
+++ b/packages/core/tests/job/model/model_runner.cpp
@@ -99,6 +99,12 @@
     return runs;
 }
 
+run_lists model_runner::lists(std::size_t max_ends, std::int64_t now_ms) const {
+    run_lists lists{clock_ms(now_ms), active(), ended_, ended_.size() < max_ends};
+    lists.ended.resize(std::min(ended_.size(), max_ends));
+    return lists;
+}
+
 void model_runner::end(const task_attempt& run, run_outcome outcome) {
     running_.erase(run);
     attempt_number& ended_attempt = ended_attempts_[run.task];
--- a/packages/core/tests/job/model/model_runner.hpp
+++ b/packages/core/tests/job/model/model_runner.hpp
@@ -54,7 +54,8 @@
 
     std::vector<active_run> active() const;
 
-    const std::vector<ended_run>& ended() const { return ended_; }
+    /// The lists as the runner returns them, with at most `max_ends` ends.
+    run_lists lists(std::size_t max_ends, std::int64_t now_ms) const;
 
     const std::map<task_attempt, running_task>& running() const { return running_; }
 
--- a/packages/core/tests/job/run_tracker_test.cpp
+++ b/packages/core/tests/job/run_tracker_test.cpp
@@ -12,7 +12,7 @@
         registration.instance = "runner@1";
         registration.state = runner_state::ready;
         tracker.apply_registration(registration);
-        tracker.apply_lists(1, {}, {}, now());
+        tracker.apply_lists({1, {}, {}}, now());
         tracker.make_report("vm", now());
     }
 
@@ -58,9 +58,6 @@
     milliseconds time{10000};
 };
 
-/// The most ends that a runner returns in one answer.
-constexpr std::size_t full_list = 500;
-
 /// Ends of runs of another job, numbered from one.
 std::vector<ended_run> ends_of_others(std::size_t count) {
     std::vector<ended_run> ends;
@@ -79,7 +76,7 @@
     ready_agent agent;
     agent.order_start(milliseconds(8000));
     agent.confirm_start(5);
-    agent.tracker.apply_lists(10, {}, ends_of_others(full_list), agent.now());
+    agent.tracker.apply_lists({10, {}, ends_of_others(max_listed_ends), false}, agent.now());
     CHECK(agent.rejected().empty());
 }
 
@@ -91,7 +88,7 @@
     agent.order_stop();
     REQUIRE(agent.tracker.next_stop() == agent.run);
     agent.tracker.stop_done(agent.run, 7);
-    agent.tracker.apply_lists(10, {}, ends_of_others(full_list), agent.now());
+    agent.tracker.apply_lists({10, {}, ends_of_others(max_listed_ends), false}, agent.now());
     CHECK(agent.rejected().empty());
 }
 
@@ -100,7 +97,7 @@
     ready_agent agent;
     agent.order_start(milliseconds(8000));
     agent.confirm_start(5);
-    agent.tracker.apply_lists(10, {}, ends_of_others(full_list - 1), agent.now());
+    agent.tracker.apply_lists({10, {}, ends_of_others(max_listed_ends - 1)}, agent.now());
     const std::vector<rejected_run> rejected = agent.rejected();
     REQUIRE(rejected.size() == 1);
     CHECK(rejected.front().reason == "not_there");
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -328,8 +328,7 @@
         }
         return;
     }
-    tracker_.apply_lists(lists.clock_ms, std::move(lists.active), std::move(lists.ended),
-                         boot_now());
+    tracker_.apply_lists(std::move(lists.runs), boot_now());
     guard_.observe(guarded_runs(), tracker_.registration().capacity.cpu_millicores, boot_now());
     guard_latency();
     if (tracker_.take_urgent_change()) {
--- a/packages/infrastructure/include/egretstile/infrastructure/runner/task_runner.hpp
+++ b/packages/infrastructure/include/egretstile/infrastructure/runner/task_runner.hpp
@@ -47,15 +47,12 @@
     std::int64_t clock_ms{0};
 };
 
-/// All runs of a runner: the active ones and those whose end is not acknowledged.
+/// A runner's answer to a renewal.
 struct runner_lists {
-    /// The runner's clock, in milliseconds, when it responded.
-    std::int64_t clock_ms{0};
-    /// Wall-clock time at which the current instance of the runner started, in milliseconds.
+    /// Wall-clock time at which the current instance of the runner started, in milliseconds; zero:
+    /// the answer does not state it.
     std::int64_t instance_start_ms{0};
-    std::vector<active_run> active;
-    /// Ends that have not been acknowledged; the runner returns a limited number at a time.
-    std::vector<ended_run> ended;
+    run_lists runs;
 };
 
 struct task_start {
