core: a job cancelled while no entry leads is kept for its retention

Cause: a new leader reads the cancellation before the progress. job_table::restore then took the cancelled job, with progress that isn't final, as stored: the final state was never written, and final_at stayed at the boot of the VM. The job expired at the next check on a VM older than the retention, and on a younger one when it reached that age.

Change: restore leaves a job that is already final to be stored; final_at is optional and a job without it doesn't expire. Later leaders count the retention anew, as before.

--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -78,8 +78,8 @@
     std::uint64_t stored_version{0};
     /// A running task has a checkpoint for which `version` was not increased yet.
     bool has_new_checkpoint{false};
-    /// When the final state was stored or, after a change of the leader, restored.
-    boot_time final_at{};
+    /// When the final state was stored or, after a change of the leader, restored; nothing before.
+    std::optional<boot_time> final_at;
     /// The queue's latest policy, kept when the queue is removed.
     queue_policy policy;
     /// Largest sum of estimated run times along a chain of dependent steps.
@@ -93,9 +93,10 @@
     /// queue no longer exists; the policy at the time of acceptance then applies.
     job_entry& add(const job_spec& spec, const queue_policy* policy);
 
-    /// Restores the stored progress of a job; tasks that are already known to be done stay done.
-    /// The retention of a final job begins at `now`, because the time at which it ended is not
-    /// stored.
+    /// Restores the stored progress of a job; tasks that are already known to be done stay done,
+    /// and a job that is already final stays so and has to be stored unless `progress` is final.
+    /// The retention of a job whose stored state is final begins at `now`, because the time at
+    /// which it ended is not stored. Precondition: the job was not stored by this leader before.
     void restore(job_entry& job, const job_progress& progress, boot_time now);
 
     /// Null when the job is not known. Pointers stay valid until the job is removed.
@@ -126,7 +127,8 @@
 
     std::size_t size() const { return jobs_.size(); }
 
-    /// Jobs whose final state was stored before `time`.
+    /// Jobs whose final state was stored before `time`, and that have no change to be stored.
+    /// `time` may be before the boot of the VM.
     std::vector<job_id> final_before(boot_time time) const;
 
     /// Number of jobs of the queue that have no schedule and of which no task has started.
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -81,6 +81,9 @@
         // it is already marked as cancelled here.
         job.state = progress.state;
         job.final_at = now;
+    } else if (is_final(job.state)) {
+        // The cancellation was read before the progress, so the final state is yet to be stored.
+        return;
     } else if (job.state == job_state::queued) {
         job.state = progress.state;
     }
@@ -179,7 +182,8 @@
 std::vector<job_id> job_table::final_before(boot_time time) const {
     std::vector<job_id> ids;
     for (const auto& [id, job] : jobs_) {
-        if (is_final(job->state) && job->version == job->stored_version && job->final_at < time) {
+        // A change that is not stored yet must not be written after the removal.
+        if (job->final_at && *job->final_at < time && job->version == job->stored_version) {
             ids.push_back(id);
         }
     }
--- a/packages/daemon/tests/jobs/job_leader_test.cpp
+++ b/packages/daemon/tests/jobs/job_leader_test.cpp
@@ -161,6 +161,24 @@
     CHECK(fixture.leader->state_of(job.id) == job_state::cancelled);
 }
 
+// Guards against a cancelled job that each new leader has to recognise anew, and removes too early:
+// its cancellation is read before its progress, and its final state is never stored.
+TEST_CASE("a leader stores the final state of a job that was cancelled while no entry led") {
+    takeover_fixture fixture(milliseconds(1));
+    fixture.store.put(store_keys::job("job"), wire::encode_record(job_accepted_in("job", 1)));
+    fixture.store.put(store_keys::cancellation("job"), "");
+    job_progress progress;
+    progress.state = job_state::running;
+    progress.tasks.resize(1);
+    fixture.store.put(store_keys::progress("job"), wire::encode_record(progress));
+    fixture.run_for(milliseconds(500));
+    REQUIRE(fixture.leader->is_serving());
+    const std::optional<job_progress> stored =
+        wire::decode_job_progress(fixture.store.value_of(store_keys::progress("job")));
+    REQUIRE(stored);
+    CHECK(stored->state == job_state::cancelled);
+}
+
 /// A leadership whose predecessor may have given permissions until now.
 leadership leadership_after_loss() {
     leadership acquired = leadership_without_predecessor();
