daemon: a final job whose removal failed does not run again

Cause: the leader forgets an expired job before the store has confirmed its removal, and took the job that the entry then named for a new one. The failed removal was not logged either.

Ruled out: keeping the job in the scheduler until the removal is confirmed. A job that is submitted anew after the removal, but before its answer, would be taken for the old one and never start.

Change: the leader remembers the jobs whose removal isn't confirmed and ignores entries that name them. A changed key of the job, which the watch shows, is a new submission and is added as before. A failed removal is logged, and left to a later leader as before.

Open: an entry that reads the key just before its removal and names the job just after the store has confirmed it still brings the job back; this takes a repetition at the moment of the removal.

--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -141,6 +141,8 @@
                   "key=" + item.key);
         return;
     }
+    // A changed key shows that the job was removed and submitted anew.
+    unremoved_.erase(job->id);
     add_job(*job);
 }
 
@@ -313,6 +315,9 @@
         handlers_.on_later_epoch();
         return;
     }
+    if (unremoved_.count(job.id) != 0) {
+        return;
+    }
     if (!scheduler_.has_job(job.id)) {
         write_log(log_part::leader, log_level::info, "Added a job.",
                   "job=" + job.id + " queue=" + job.queue + " priority=" +
@@ -560,7 +565,8 @@
     if (!serving_) {
         return;
     }
-    std::vector<job_id> expired = scheduler_.take_expired(boot_now(), expired_jobs_per_commit);
+    const std::vector<job_id> expired =
+        scheduler_.take_expired(boot_now(), expired_jobs_per_commit);
     if (expired.empty()) {
         return;
     }
@@ -571,11 +577,28 @@
         transaction.removals.push_back(store_keys::cancellation(id));
         transaction.removals.push_back(store_keys::progress(id));
         progress_revisions_.erase(id);
+        unremoved_.insert(id);
     }
-    store_.commit(transaction, commit_timeout,
-                  [](std::variant<store_commit, store_conflict, store_error>&& /*removed*/) {
-                      // A job whose removal failed is removed by a later leader.
-                  });
+    const std::weak_ptr<int> alive = alive_;
+    store_.commit(
+        transaction, commit_timeout,
+        [this, alive, expired](std::variant<store_commit, store_conflict, store_error>&& result) {
+            if (alive.expired()) {
+                return;
+            }
+            if (std::holds_alternative<store_commit>(result)) {
+                for (const job_id& id : expired) {
+                    unremoved_.erase(id);
+                }
+                return;
+            }
+            // A job whose removal failed is removed by a later leader.
+            const store_error* const error = std::get_if<store_error>(&result);
+            write_log(log_part::leader, log_level::warning, "Cannot remove expired jobs.",
+                      "jobs=" + std::to_string(expired.size()) + " reason=" +
+                          (error == nullptr ? std::string("conflict")
+                                            : std::string(name_of(store_error_names, *error))));
+        });
 }
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -120,6 +120,9 @@
     boot_time store_not_before_{};
     /// Revision of the stored progress of each job.
     std::map<job_id, revision_number> progress_revisions_;
+    /// Expired jobs that may still be stored, because their removal has not been confirmed. An
+    /// entry that finds such a job stored names it again, although it is not a new one.
+    std::set<job_id> unremoved_;
     /// VMs whose registration is being written.
     std::set<vm_name> registering_;
     /// Revision of each VM's registration.
--- a/packages/daemon/tests/jobs/job_leader_test.cpp
+++ b/packages/daemon/tests/jobs/job_leader_test.cpp
@@ -28,12 +28,13 @@
 public:
     /// `registration` is what the store holds for the VM.
     explicit takeover_fixture(milliseconds loading_time, const std::string& registration = "",
-                              const leadership& acquired = leadership_without_predecessor()) {
+                              const leadership& acquired = leadership_without_predecessor(),
+                              const leader_settings& settings = leader_settings()) {
         store.put(store_keys::epoch, std::to_string(epoch));
         store.put(store_keys::vm("vm-1"), registration);
         store.list_delay = loading_time;
         leader = std::make_unique<job_leader>(
-            loop, store, leader_settings(), acquired,
+            loop, store, settings, acquired,
             job_leader::handlers{
                 [this](const vm_name& vm, const wire::message& message) {
                     if (const vm_orders* const orders = std::get_if<vm_orders>(&message)) {
@@ -179,6 +180,43 @@
     CHECK(stored->state == job_state::cancelled);
 }
 
+// Guards against a final job that runs again: the store did not take its removal, so a repetition
+// of its submission is answered as known, and the entry names the job to the leader.
+TEST_CASE("a final job whose removal failed does not run again") {
+    leader_settings settings;
+    settings.scheduler.final_retention = milliseconds(1000);
+    takeover_fixture fixture(milliseconds(1), "", leadership_without_predecessor(), settings);
+    const job_spec job = job_accepted_in("job", 1);
+    fixture.store.put(store_keys::job("job"), wire::encode_record(job));
+    job_progress progress;
+    progress.state = job_state::completed;
+    fixture.store.put(store_keys::progress("job"), wire::encode_record(progress));
+    fixture.run_for(milliseconds(4500));
+    REQUIRE(fixture.leader->state_of("job") == job_state::completed);
+    fixture.store.reachable = false;
+    fixture.run_for(milliseconds(1000));
+    fixture.store.reachable = true;
+    REQUIRE_FALSE(fixture.store.value_of(store_keys::job("job")).empty());
+    fixture.leader->add_job(job);
+    fixture.leader->confirm_leadership(boot_now());
+    fixture.leader->confirm_closed_domains(boot_now());
+    fixture.leader->agent_connected("vm-1");
+    // The first report registers the VM again.
+    for (int reports = 0; reports < 2; ++reports) {
+        fixture.leader->apply_report(report_with_room());
+        fixture.run_for(milliseconds(300));
+    }
+    CHECK(fixture.starts.empty());
+    CHECK(fixture.store.value_of(store_keys::progress("job")) == wire::encode_record(progress));
+    // Once the job is gone from the store, its id is that of a new job.
+    fixture.store.remove(store_keys::job("job"));
+    fixture.store.remove(store_keys::progress("job"));
+    fixture.store.put(store_keys::job("job"), wire::encode_record(job));
+    fixture.leader->add_job(job);
+    fixture.run_for(milliseconds(300));
+    CHECK(fixture.starts.size() == 1);
+}
+
 /// A leadership whose predecessor may have given permissions until now.
 leadership leadership_after_loss() {
     leadership acquired = leadership_without_predecessor();
