daemon, platform: orders, leases and acknowledgements reach only the registered runner

Callers would see tasks that run twice.

- A start meant for the former process was carried out by the next one under the same id, given up because an answer had named another instance, and started elsewhere.
Now only an answer to a call replaces a registration, and the new instance is reported together with its runs, which the leader adopts.
- After a failed call, or when another instance has sent a heartbeat, starts wait, and renewals carry neither lease nor acknowledgements until the registered instance answers.
A lease on the former process's clock would bind the next one for longer than the agent counts on.
- Two refusals of calls that were sent beside each other counted as two.
Now the second one has to be sent after the first has failed, also after a deregistration.

--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -142,9 +142,6 @@
     case heartbeat_verdict::refreshed:
         tracker_.apply_registration(heartbeat.registration);
         break;
-    case heartbeat_verdict::replaced:
-        take_registered_runner();
-        break;
     }
     renew();
     if (tracker_.take_urgent_change()) {
@@ -185,6 +182,9 @@
 }
 
 void job_agent_process::send_starts() {
+    if (!registered_runner_.is_reachable()) {
+        return; // Another instance would start tasks that were ordered for the registered one.
+    }
     while (const std::optional<start_order> order = tracker_.next_start(boot_now())) {
         send_start(*order);
     }
@@ -268,9 +268,11 @@
     }
     renewed_at_ = boot_now();
     lease_renewal renewal;
-    renewal.lease_until_ms = tracker_.lease_until_ms(boot_now()).value_or(0);
-    renewal.acknowledged_ends = tracker_.acknowledged_ends();
-    renewal.wait = tracker_.lists_known() ? renewal_wait : milliseconds(0);
+    if (registered_runner_.is_reachable()) {
+        renewal.lease_until_ms = tracker_.lease_until_ms(boot_now()).value_or(0);
+        renewal.acknowledged_ends = tracker_.acknowledged_ends();
+        renewal.wait = tracker_.lists_known() ? renewal_wait : milliseconds(0);
+    }
     read_lists(renewal, &job_agent_process::renewing_);
 }
 
@@ -295,6 +297,11 @@
             if (number < answered_list_call_) {
                 return; // A later call has been answered, perhaps by another instance.
             }
+            const bool failed = std::holds_alternative<runner_refusal>(answer);
+            if (failed && number <= calls_before_failure_) {
+                return; // Sent beside a call that has failed; it says nothing new.
+            }
+            calls_before_failure_ = failed ? list_calls_ : calls_before_failure_;
             if (const runner_refusal* const refusal = std::get_if<runner_refusal>(&answer)) {
                 if (instance == tracker_.registration().instance) {
                     handle_renewal_failure(*refusal);
@@ -323,7 +330,10 @@
         take_registered_runner();
         break;
     case answer_verdict::unknown:
-        if (tracker_.registration().state != runner_state::absent) {
+        // Its first heartbeat comes soon. It is reported together with its runs, which may include
+        // one that was ordered for the former instance.
+        if (tracker_.registration().state != runner_state::absent && tracker_.lists_known() &&
+            tracker_.has_lapsed(boot_now())) {
             mark_runner_gone(runner_end_evidence::other_instance);
         }
         return;
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -112,6 +112,8 @@
     /// Numbers of the last call for the runner's lists, and of the latest one that was answered.
     std::uint64_t list_calls_{0};
     std::uint64_t answered_list_call_{0};
+    /// Number of the last call that had been sent when one failed.
+    std::uint64_t calls_before_failure_{0};
     bool report_scheduled_{false};
     boot_time reported_at_{};
 };
--- a/packages/daemon/source/jobs/registered_runner.cpp
+++ b/packages/daemon/source/jobs/registered_runner.cpp
@@ -1,5 +1,7 @@
 #include "jobs/registered_runner.hpp"
 
+#include <utility>
+
 namespace egretstile::daemon {
 
 namespace {
@@ -27,14 +29,6 @@
         departure_claimed_ = false;
         return heartbeat_verdict::refreshed;
     }
-    const bool answers_calls =
-        answering_start_ms_ != 0 && heartbeat.instance_start_ms == answering_start_ms_;
-    const bool registered_answers =
-        !id().empty() && answering_start_ms_ == registered_.instance_start_ms;
-    if (answers_calls && !registered_answers) {
-        take(heartbeat);
-        return heartbeat_verdict::replaced;
-    }
     claimed_ = heartbeat;
     return heartbeat_verdict::unconfirmed;
 }
@@ -55,36 +49,32 @@
     if (instance_start_ms == 0) {
         return id().empty() ? answer_verdict::unknown : answer_verdict::registered;
     }
-    answering_start_ms_ = instance_start_ms;
+    answers_ = true;
     if (!id().empty() && instance_start_ms == registered_.instance_start_ms) {
         claimed_.reset();
         return answer_verdict::registered;
     }
     if (claimed_ && claimed_->instance_start_ms == instance_start_ms) {
-        take(infrastructure::runner_heartbeat(*claimed_));
+        registered_ = *std::exchange(claimed_, std::nullopt);
+        departure_claimed_ = false;
         return answer_verdict::replaced;
     }
+    answers_ = false;
     return answer_verdict::unknown;
 }
 
 runner_end_evidence registered_runner::observe_failure(runner_refusal refusal, bool lease_ended) {
     ++failures_;
     consecutive_refusals_ = refusal == runner_refusal::not_running ? consecutive_refusals_ + 1 : 0;
-    const std::uint64_t needed = departure_claimed_ ? 1 : refusals_of_ended_runner;
-    if (consecutive_refusals_ >= needed) {
-        return runner_end_evidence::connection_refused;
-    }
     const bool unreachable = refusal == runner_refusal::no_answer ||
                              refusal == runner_refusal::not_sent ||
                              refusal == runner_refusal::not_running;
+    answers_ = answers_ && !unreachable;
+    if (consecutive_refusals_ >= refusals_of_ended_runner) {
+        return runner_end_evidence::connection_refused;
+    }
     return unreachable && lease_ended ? runner_end_evidence::lease_ended
                                       : runner_end_evidence::none;
 }
 
-void registered_runner::take(const infrastructure::runner_heartbeat& heartbeat) {
-    registered_ = heartbeat;
-    claimed_.reset();
-    departure_claimed_ = false;
-}
-
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/registered_runner.hpp
+++ b/packages/daemon/source/jobs/registered_runner.hpp
@@ -11,17 +11,16 @@
 
 /// What a heartbeat says about the runner that is registered at an agent.
 enum class heartbeat_verdict : std::uint8_t {
-    stale,       ///< Sent before another heartbeat that has been taken; to be ignored.
-    refreshed,   ///< A later heartbeat of the registered instance.
-    unconfirmed, ///< Names another instance, which has not answered a call yet.
-    replaced     ///< Names another instance, which answers calls; it is now the registered one.
+    stale,      ///< Sent before another heartbeat that has been taken; to be ignored.
+    refreshed,  ///< A later heartbeat of the registered instance.
+    unconfirmed ///< Names another instance, which has yet to answer a call.
 };
 
 /// What an answer from the runner's address says about the registered runner.
 enum class answer_verdict : std::uint8_t {
     registered, ///< It comes from the registered instance.
     replaced,   ///< It comes from an instance that has sent a heartbeat and is now registered.
-    unknown     ///< It comes from an instance that has not sent a heartbeat: no other one runs.
+    unknown     ///< It comes from an instance that has not sent a heartbeat yet.
 };
 
 /// Identity of the runner instance that is registered at an agent, and the only place that decides
@@ -40,8 +39,13 @@
     /// Whether a call to the runner's address is needed to decide about a claim.
     bool has_open_claim() const { return claimed_.has_value() || departure_claimed_; }
 
-    /// Decides about a heartbeat. One of another instance is only remembered, unless that instance
-    /// is the one that answers calls.
+    /// Whether calls reach the registered instance as far as is known: it has sent the latest
+    /// answer, no call has failed and no other instance has sent a heartbeat since. When false, a
+    /// call may reach another instance, for which orders, leases and acknowledgements are not
+    /// meant.
+    bool is_reachable() const { return answers_ && !claimed_; }
+
+    /// Decides about a heartbeat. One of another instance is only remembered.
     heartbeat_verdict apply(const infrastructure::runner_heartbeat& heartbeat);
 
     /// Remembers a deregistration. False when it names another runner or another instance than the
@@ -55,20 +59,19 @@
 
     /// Records a call to the runner's address that failed. Returns what shows that the registered
     /// instance has ended. `lease_ended` is whether all leases of its runs have certainly ended.
+    /// Precondition: the call was sent after the failure that was recorded before.
     runner_end_evidence observe_failure(infrastructure::runner_refusal refusal, bool lease_ended);
 
     /// Number of calls that have failed since the last answer.
     std::uint64_t consecutive_failures() const { return failures_; }
 
 private:
-    void take(const infrastructure::runner_heartbeat& heartbeat);
-
     infrastructure::runner_heartbeat registered_;
     /// The latest heartbeat of an instance that has not answered a call.
     std::optional<infrastructure::runner_heartbeat> claimed_;
     bool departure_claimed_{false};
-    /// Start time in the latest answer; zero: there was none.
-    std::int64_t answering_start_ms_{0};
+    /// Whether the latest call was answered by the registered instance.
+    bool answers_{false};
     std::uint64_t failures_{0};
     std::uint64_t consecutive_refusals_{0};
 };
--- a/packages/daemon/tests/jobs/registered_runner_test.cpp
+++ b/packages/daemon/tests/jobs/registered_runner_test.cpp
@@ -65,7 +65,8 @@
     CHECK(runner.apply(heartbeat("i-odd", std::numeric_limits<std::int64_t>::max(), 1)) ==
           heartbeat_verdict::unconfirmed);
     CHECK(runner.observe_answer(100) == answer_verdict::unknown);
-    CHECK(runner.apply(heartbeat("i-1", 100, 6)) == heartbeat_verdict::replaced);
+    CHECK(runner.apply(heartbeat("i-1", 100, 6)) == heartbeat_verdict::unconfirmed);
+    CHECK(runner.observe_answer(100) == answer_verdict::replaced);
     CHECK(runner.id() == "i-1");
 }
 
@@ -89,12 +90,29 @@
     CHECK(runner.heartbeat().instance_start_ms == 20);
 }
 
-// Guards against tasks that go on to be counted on a runner whose process was replaced, because
-// the heartbeat of the new process was lost.
-TEST_CASE("an answer of an instance without a heartbeat shows that the registered one has ended") {
+// Guards against starts and leases for the registered instance that reach the next one, which has
+// not sent a heartbeat yet.
+TEST_CASE("the registered instance is not reachable once another one answers") {
     registered_runner runner = make_registered();
+    CHECK(runner.is_reachable());
     CHECK(runner.observe_answer(300) == answer_verdict::unknown);
-    CHECK(runner.apply(heartbeat("i-1", 300, 1)) == heartbeat_verdict::replaced);
+    CHECK_FALSE(runner.is_reachable());
+    CHECK(runner.apply(heartbeat("i-1", 300, 1)) == heartbeat_verdict::unconfirmed);
+    CHECK_FALSE(runner.is_reachable());
+    CHECK(runner.observe_answer(300) == answer_verdict::replaced);
+    CHECK(runner.is_reachable());
+}
+
+// Guards against the same after a call has failed: its process may have been replaced meanwhile.
+TEST_CASE("after a failed call the registered instance is not reachable until it answers") {
+    for (const runner_refusal refusal :
+         {runner_refusal::no_answer, runner_refusal::not_sent, runner_refusal::not_running}) {
+        registered_runner runner = make_registered();
+        runner.observe_failure(refusal, false);
+        CHECK_FALSE(runner.is_reachable());
+        CHECK(runner.observe_answer(100) == answer_verdict::registered);
+        CHECK(runner.is_reachable());
+    }
 }
 
 // Guards against an agent that ignores its runner for good, after a heartbeat with a number that is
@@ -114,6 +132,7 @@
     CHECK(runner.has_open_claim());
     CHECK(runner.observe_answer(100) == answer_verdict::registered);
     CHECK(runner.observe_failure(runner_refusal::no_answer, false) == runner_end_evidence::none);
+    CHECK(runner.observe_failure(runner_refusal::not_running, false) == runner_end_evidence::none);
     CHECK(runner.observe_failure(runner_refusal::not_running, false) ==
           runner_end_evidence::connection_refused);
 }
--- a/testing/integration/jobs/runner_claims_test.cpp
+++ b/testing/integration/jobs/runner_claims_test.cpp
@@ -24,6 +24,10 @@
 /// Each runner gets three tasks, and has room for those of another one.
 constexpr const char* step = R"({"count":9,"cpu":10000,"mem_mb":256,"estimate_ms":5000})";
 
+constexpr std::size_t short_jobs = 10;
+constexpr std::size_t tasks_of_short_job = 40;
+/// Takes a tenth of a second; five tasks fit beside the long ones of a runner.
+constexpr const char* short_step = R"({"count":40,"cpu":6000,"mem_mb":256,"estimate_ms":100})";
 const std::vector<std::string> no_violations;
 
 /// Three runners that run three long tasks each.
@@ -87,6 +91,25 @@
         CHECK(started_runs() == tasks + 1);
     }
 
+    /// Starts go on at each runner for some seconds.
+    void submit_many_short_jobs() {
+        for (std::size_t number = 0; number < short_jobs; ++number) {
+            const std::string id = "00000000000001" + std::to_string(number + 10);
+            REQUIRE(registry_.submit(0, id, short_step).status == 200);
+        }
+    }
+
+    void check_short_jobs_done_once() {
+        CHECK(harness::wait_until(
+            [this] {
+                return registry_.history().done_tasks() ==
+                       tasks + 1 + short_jobs * tasks_of_short_job;
+            },
+            completion_timeout));
+        CHECK(registry_.history().simultaneous_runs() == no_violations);
+        CHECK(registry_.history().starts_after_done() == no_violations);
+    }
+
     std::size_t started_runs() const {
         const std::vector<run_event> events = registry_.history().events();
         return static_cast<std::size_t>(
@@ -150,4 +173,16 @@
     busy.check_tasks_move();
 }
 
+// Guards against tasks that run twice because the restarted runner carries out orders for its
+// former process, while it answers calls and has not sent a heartbeat yet.
+TEST_CASE("orders for a former process of a runner do not reach the next one") {
+    busy_registry busy;
+    busy.submit_many_short_jobs();
+    busy.on_runner([](runner& present) {
+        present.end_process();
+        present.start_process(false);
+    });
+    busy.check_short_jobs_done_once();
+}
+
 } // namespace egretstile::platform::standins
