core: a job that was shown as completed stays so while a later change is stored

Cause: visible_state compared the stored with the present version. A new leader that has restored the job as completed raises the version when a runner reports the end of a stopped run again, and showed the job as running until that was stored. Ruled out: a state that the store does not hold; final_at is set only when the final state was stored or read.

Change: a final state is shown once it has been stored, whatever changes later.

--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -445,7 +445,7 @@
     }
     const bool needs_storing =
         job->state == job_state::completed || job->state == job_state::failed;
-    if (needs_storing && job->stored_version < job->version) {
+    if (needs_storing && !job->final_at) {
         return job_state::running;
     }
     return job->state;
