--- a/testing/soak/soak_run.cpp
+++ b/testing/soak/soak_run.cpp
@@ -310,13 +310,13 @@
                 }
             }
             entry = (entry + 1) % options_.entries;
-            record_state(job, calls.state(entry, plan_.jobs[job].id));
+            record_state(job, entry, calls.state(entry, plan_.jobs[job].id));
         }
         std::this_thread::sleep_for(follow_interval);
     }
 }
 
-void soak_run::record_state(std::size_t job, const std::string& state) {
+void soak_run::record_state(std::size_t job, std::size_t entry, const std::string& state) {
     const std::optional<job_state> shown = value_of(job_state_names, state);
     const std::lock_guard<std::mutex> lock(mutex_);
     std::string& final_state = jobs_[job].final_state;
@@ -327,7 +327,8 @@
         if (std::exchange(jobs_[job].is_reported, true)) {
             return;
         }
-        report("job " + plan_.jobs[job].id + " is shown as " + state + " after " + final_state);
+        report("job " + plan_.jobs[job].id + " is shown as " + state + " after " + final_state +
+               " by entry " + std::to_string(entry));
     } else if (is_final(*shown)) {
         final_state = state;
     }
--- a/testing/soak/soak_run.hpp
+++ b/testing/soak/soak_run.hpp
@@ -71,7 +71,7 @@
     void submit(platform::standins::caller& calls, std::size_t number);
     /// Asks for states, of all jobs in turn, until the run has ended.
     void follow_jobs();
-    void record_state(std::size_t job, const std::string& state);
+    void record_state(std::size_t job, std::size_t entry, const std::string& state);
     /// Checks what runners have seen so far.
     void check_history();
     void check_processes();
