--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -143,8 +143,8 @@
 template <typename Archive>
 void serialize(Archive& archive, vm_report& value) {
     archive(value.vm, value.sequence, value.epoch, value.applied_order_number, value.runner,
-            value.lists_known, value.lists_complete, value.runner_end, value.active, value.starting, value.ended,
-            value.rejected, value.pressures);
+            value.lists_known, value.lists_complete, value.runner_end, value.active, value.starting,
+            value.ended, value.rejected, value.pressures);
 }
 
 template <typename Archive>
