--- a/packages/daemon/source/settings/job_settings.hpp
+++ b/packages/daemon/source/settings/job_settings.hpp
@@ -20,6 +20,10 @@
     /// Address of the platform's key-value store.
     endpoint store;
     std::string log_level{"info"};
+    /// Memory that the process may use, in megabytes; zero: unknown.
+    std::uint32_t memory_mb{0};
+    /// Most file descriptors that the process may open; zero: unknown.
+    std::uint32_t max_fds{0};
 };
 
 /// Settings of a process that serves callers' requests and can become leader.
@@ -37,6 +41,12 @@
     milliseconds closure_age_limit{5000};
     /// Time in which the process stops after the stop signal; the platform kills it afterwards.
     milliseconds stop_timeout{5000};
+    /// Parts of the service contract in force, separated by commas.
+    std::string contract_parts;
+    /// Factor by which a task takes longer away from the rack that holds its data.
+    double remote_factor{1.0};
+    /// Time that a task needs to resume from a checkpoint.
+    milliseconds restore_time{0};
 };
 
 /// Settings of a process that runs beside a task runner.
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -120,6 +120,10 @@
     table.remote_address("store", target.store, "Address of the platform's key-value store.");
     table.choice("log_level", names_in(log_level_names), target.log_level,
                  "Lowest severity of log lines that are written.");
+    table.number("memory_mb", "MB", target.memory_mb, 0, 1 << 20,
+                 "Memory that the process may use; 0 when it is not known.");
+    table.number("max_fds", "descriptors", target.max_fds, 0, 1 << 24,
+                 "Most file descriptors that the process may open; 0 when it is not known.");
 }
 
 void add_terms(table_builder& table, lease_terms& target) {
@@ -280,6 +284,15 @@
         "the closed failure domains since.");
     table.duration("stop_timeout_ms", target.stop_timeout, 0, day_ms,
                    "A planned shutdown waits at most this long for requests in progress.");
+    table.text("contract_parts", target.contract_parts, true,
+               "Parts of the service contract in force, separated by commas. `health` makes the "
+               "scheduler track the health of runners and account for the room of filling tasks; "
+               "unknown names are ignored.");
+    table.decimal("remote_factor", "", target.remote_factor, 1.0, 100.0,
+                  "Factor by which a task takes longer away from the rack that holds its data; 1 "
+                  "when the rack makes no difference.");
+    table.duration("restore_ms", target.restore_time, 0, minute_ms,
+                   "Time that a task needs to resume from a checkpoint.");
     return table.build();
 }
 
