core, daemon: serving tasks are placed by image, the headroom reserve falls while work waits

Cause: serving tasks of up to five images share a VM, and the reserve of 2.2 applies to the image with the least headroom, so filling tasks wait although processor time is idle.

Change: image_separating_placer adds 1.0 to the cost of a VM for each other serving image. The reserve is a field of placement_request; the scheduler sets 1.6 in the pass after one in which filling tasks of a job that is not too late found no room, by service, else 2.2. Serving tasks without a measured headroom keep 2.2.

--- a/packages/core/include/egretstile/core/interference/latency_guard.hpp
+++ b/packages/core/include/egretstile/core/interference/latency_guard.hpp
@@ -22,6 +22,10 @@
     /// Headroom that each serving task must keep when a filling task is placed. It is larger,
     /// because the load may grow during the several seconds for which the filling task runs.
     double min_placement_headroom{2.2};
+    /// Replaces `min_placement_headroom` while filling tasks that can still be in time wait for
+    /// room. Serving tasks of several images rarely all have the larger headroom at the same time,
+    /// and the latency guard enforces `min_headroom` in any case.
+    double contended_placement_headroom{1.6};
 };
 
 /// Millicores that filling tasks can use on a VM; at least zero. `serving_used_millicores` is the
--- a/packages/core/include/egretstile/core/interference/pressure_model.hpp
+++ b/packages/core/include/egretstile/core/interference/pressure_model.hpp
@@ -114,6 +114,9 @@
     /// Headroom of the serving task without filling tasks, or `fallback` when it is not known.
     double own_headroom(const task_attempt& run, double fallback) const;
 
+    /// Whether `own_headroom` of the serving task is known.
+    bool knows_own_headroom(const task_attempt& run) const;
+
     /// Headroom of the serving task in its last report with a latency. Zero when it is not known.
     double last_headroom(const task_attempt& run) const;
 
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -64,6 +64,9 @@
     /// A failure domain that was taken out of service must get no task after this time, so no task
     /// is started when the closed domains were confirmed longer ago.
     milliseconds closure_age_limit{5000};
+    /// While filling tasks that can still be in time wait for room, filling tasks are placed with
+    /// the smaller reserve `sharing_model::contended_placement_headroom`.
+    bool place_by_contention{false};
 };
 
 /// Decides on the leader which task runs on which VM. Produces orders for agents and progress to be
@@ -233,7 +236,10 @@
     /// Whether tasks may be started now; reports a change.
     bool check_starts_allowed(boot_time now);
     void start_waiting_tasks(boot_time now, std::int64_t wall_ms);
-    void start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    /// Starts tasks of the step. False when a task was not started for lack of room.
+    bool start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    /// Headroom that a filling task of the service has to leave to serving tasks.
+    double placement_headroom(const std::string& service) const;
     /// Whether a VM that has not reported may still run the task for an earlier leader.
     bool may_have_unreported_run(const job_entry& job, const job_task& task) const;
     /// Whether placing a task of the same image with no greater need has failed in this pass.
@@ -241,7 +247,8 @@
     /// Reports, once for each step, that a task of it waits for room.
     void record_waiting_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
                              boot_time now);
-    void start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
+    /// Starts the gang. False when it was not started for lack of room.
+    bool start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     /// Reserves room for all members, on a single rack when the step is rack-local and one rack has
     /// the room. Returns an empty list and reserves nothing when there is no room for all.
     std::vector<gang_member> place_gang(const job_entry& job, const task_ref& first,
@@ -295,6 +302,8 @@
     std::map<std::pair<std::string, std::string>, resources> unplaceable_;
     /// Results of `is_half_idle` in the present pass, by service.
     std::map<std::string, bool> half_idle_;
+    /// Services for which filling tasks that can still be in time found no room in the last pass.
+    std::set<std::string> contended_services_;
     boot_time moves_considered_at_{};
     boot_time checkpoints_marked_at_{};
     pressure_model pressures_;
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -2,6 +2,7 @@
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/name_table.hpp>
+#include <egretstile/core/interference/latency_guard.hpp>
 #include <egretstile/core/interference/pressure_model.hpp>
 #include <egretstile/core/job/job_table.hpp>
 #include <egretstile/core/job/vm_table.hpp>
@@ -25,6 +26,9 @@
     const pressure_model* pressures{nullptr};
     /// A filling task may also be placed where it is expected to be slow.
     bool accept_slow{false};
+    /// Headroom that each serving task on the VM must keep when a filling task is placed there.
+    /// Serving tasks without a measured headroom keep at least the default.
+    double placement_headroom{sharing_model{}.min_placement_headroom};
     /// Rack whose VMs may be chosen; empty: any.
     std::string rack;
     /// VM on which the task failed last; chosen only when no other can take the task.
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -31,6 +31,8 @@
     double own_headroom{0};
     /// Part of it that the filling tasks on the VM are expected to consume.
     double consumed_headroom{0};
+    /// The headroom of all these tasks was measured; otherwise a default stands for it.
+    bool measured{false};
 };
 
 /// An end that was applied and must be stored before it is acknowledged to the runner.
--- a/packages/core/source/interference/pressure_model.cpp
+++ b/packages/core/source/interference/pressure_model.cpp
@@ -237,6 +237,11 @@
     return known == tasks_.end() ? fallback : known->second->own_headroom.value_or(fallback);
 }
 
+bool pressure_model::knows_own_headroom(const task_attempt& run) const {
+    const auto known = tasks_.find(run);
+    return known != tasks_.end() && known->second->own_headroom.has_value();
+}
+
 double pressure_model::last_headroom(const task_attempt& run) const {
     const auto known = tasks_.find(run);
     return known == tasks_.end() ? 0.0 : known->second->last_headroom;
--- /dev/null
+++ b/packages/core/source/job/image_separating_placer.cpp
@@ -0,0 +1,30 @@
+#include "job/placement_cost.hpp"
+
+#include <egretstile/core/job/image_separating_placer.hpp>
+
+namespace egretstile {
+
+namespace {
+
+/// Cost to a serving task of each other serving image on the VM. At least the largest gain by the
+/// share that serving tasks have reserved, so that an empty VM is preferred to one with only other
+/// images.
+constexpr double other_image_penalty = 1.0;
+
+double other_images(const vm_state& vm, const std::string& image) {
+    return static_cast<double>(vm.serving_by_image.size() - vm.serving_by_image.count(image));
+}
+
+} // namespace
+
+vm_state* image_separating_placer::choose(const placement_request& request, vm_table& vms,
+                                          const std::set<failure_domain_name>& closed_domains,
+                                          boot_time now) {
+    const double image_penalty = request.step->target_latency_ms > 0 ? other_image_penalty : 0.0;
+    return lowest_cost_vm(request, vms, closed_domains, [&](const vm_state& vm) {
+        return separating_cost(vm, request, now) +
+               image_penalty * other_images(vm, request.step->image);
+    });
+}
+
+} // namespace egretstile
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -100,19 +100,14 @@
     return false;
 }
 
-std::vector<job_entry*> sorted_by_rank(const std::set<job_entry*>& jobs, std::int64_t wall_ms) {
+std::vector<job_rank> sorted_by_rank(const std::set<job_entry*>& jobs, std::int64_t wall_ms) {
     std::vector<job_rank> ranks;
     ranks.reserve(jobs.size());
     for (job_entry* const job : jobs) {
         ranks.push_back(rank_of(*job, wall_ms));
     }
     std::sort(ranks.begin(), ranks.end());
-    std::vector<job_entry*> ordered;
-    ordered.reserve(ranks.size());
-    for (const job_rank& rank : ranks) {
-        ordered.push_back(rank.job);
-    }
-    return ordered;
+    return ranks;
 }
 
 } // namespace
@@ -208,7 +203,9 @@
 void job_scheduler::start_waiting_tasks(boot_time now, std::int64_t wall_ms) {
     unplaceable_.clear();
     half_idle_.clear();
-    for (job_entry* const job : sorted_by_rank(jobs_.unfinished(), wall_ms)) {
+    std::set<std::string> contended;
+    for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms)) {
+        job_entry* const job = rank.job;
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
             const occurrence_state& occurrence = job->occurrences[k];
             if (occurrence.due_ms > wall_ms) {
@@ -218,17 +215,26 @@
                 if (occurrence.steps[s].waiting.empty() || !is_step_ready(*job, occurrence, s)) {
                     continue;
                 }
-                if (job->spec.steps[s].gang) {
-                    start_gang(*job, k, s, now);
-                } else {
-                    start_step(*job, k, s, now);
+                const step_spec& step = job->spec.steps[s];
+                const bool had_room =
+                    step.gang ? start_gang(*job, k, s, now) : start_step(*job, k, s, now);
+                if (!had_room && step.fills_idle_cpu && !step.long_running &&
+                    rank.timely != timeliness::too_late) {
+                    contended.insert(job->policy.service);
                 }
             }
         }
     }
+    contended_services_ = std::move(contended);
+}
+
+double job_scheduler::placement_headroom(const std::string& service) const {
+    return settings_.place_by_contention && contended_services_.count(service) != 0
+               ? sharing_model{}.contended_placement_headroom
+               : sharing_model{}.min_placement_headroom;
 }
 
-void job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+bool job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
                                boot_time now) {
     const std::set<std::uint32_t> waiting = job.occurrences[occurrence].steps[step].waiting;
     for (const std::uint32_t index : waiting) {
@@ -239,9 +245,10 @@
         }
         if (!start_task(job, task, now)) {
             record_waiting_step(job, occurrence, step, now);
-            return;
+            return false;
         }
     }
+    return true;
 }
 
 void job_scheduler::record_waiting_step(job_entry& job, std::uint32_t occurrence,
@@ -292,6 +299,7 @@
     request.task = task;
     request.last_failed_vm = state.failed_on;
     request.pressures = &pressures_;
+    request.placement_headroom = placement_headroom(job.policy.service);
     for (const tracked_run& run : state.runs) {
         request.excluded.insert(run.vm);
     }
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -5,16 +5,16 @@
 
 namespace egretstile {
 
-void job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+bool job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
                                boot_time now) {
     const step_state& state = job.occurrences[occurrence].steps[step];
     if (state.waiting.size() < state.tasks.size()) {
-        return; // Members of the previous run have not ended yet.
+        return true; // Members of the previous run have not ended yet.
     }
     attempt_number attempt = 0;
     for (const job_task& task : state.tasks) {
         if (task.retry_at > now || may_have_unreported_run(job, task)) {
-            return;
+            return true;
         }
         attempt = std::max(attempt, next_attempt(job, task.progress));
     }
@@ -22,11 +22,12 @@
         place_gang(job, {job.spec.id, occurrence, step, 0}, attempt, now);
     if (members.empty()) {
         record_waiting_step(job, occurrence, step, now);
-        return;
+        return false;
     }
     for (const gang_member& member : members) {
         order_start(job, member.task, attempt, *member.vm, now);
     }
+    return true;
 }
 
 std::vector<job_scheduler::gang_member> job_scheduler::place_gang(const job_entry& job,
@@ -61,6 +62,7 @@
         request.task.index = index;
         request.rack = rack;
         request.pressures = &pressures_;
+        request.placement_headroom = placement_headroom(job.policy.service);
         request.last_failed_vm = jobs_.find_task(request.task)->failed_on;
         vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
         if (vm == nullptr) {
--- a/packages/core/source/job/job_scheduler_interference.cpp
+++ b/packages/core/source/job/job_scheduler_interference.cpp
@@ -35,13 +35,15 @@
         }
         const double headroom =
             pressures_.own_headroom(run.run, latency_guard_settings{}.default_headroom);
+        const bool measured = pressures_.knows_own_headroom(run.run);
         const auto group =
             std::find_if(vm.serving.begin(), vm.serving.end(),
                          [&run](const serving_group& known) { return known.image == run.image; });
         if (group == vm.serving.end()) {
-            vm.serving.push_back({run.image, headroom, 0});
+            vm.serving.push_back({run.image, headroom, 0, measured});
         } else {
             group->own_headroom = std::min(group->own_headroom, headroom);
+            group->measured = group->measured && measured;
         }
     }
     update_consumed_headroom(vm);
--- /dev/null
+++ b/packages/core/source/job/placement_cost.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <egretstile/core/job/task_placer.hpp>
+
+#include <limits>
+#include <set>
+
+namespace egretstile {
+
+/// Cost of the VM to the task in units of the whole processor time of a VM; lower is better. Packs
+/// serving tasks on few VMs, so that filling tasks can use the others without disturbing them.
+/// Precondition: there is no obstacle to placing the task on the VM. Thread-safe.
+double separating_cost(const vm_state& vm, const placement_request& request, boot_time now);
+
+/// VM with the lowest cost among those that can take the task, the first of several; null when none
+/// can.
+template <typename Cost>
+vm_state* lowest_cost_vm(const placement_request& request, vm_table& vms,
+                         const std::set<failure_domain_name>& closed_domains, Cost cost_of) {
+    vm_state* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto& [name, vm] : vms) {
+        if (!may_take(vm, request, closed_domains)) {
+            continue;
+        }
+        const double cost = cost_of(vm);
+        if (cost < best_cost) {
+            best = &vm;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace egretstile
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -1,8 +1,9 @@
+#include "job/placement_cost.hpp"
+
 #include <egretstile/core/interference/latency_guard.hpp>
 #include <egretstile/core/job/task_placer.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace egretstile {
 
@@ -71,8 +72,28 @@
     return cost;
 }
 
-/// Packs serving tasks on few VMs, so that filling tasks can use the others without disturbing
-/// them.
+/// Headroom that the serving tasks of the group must keep when a filling task is placed.
+double reserve_for(const serving_group& group, const placement_request& request) {
+    return group.measured
+               ? request.placement_headroom
+               : std::max(request.placement_headroom, sharing_model{}.min_placement_headroom);
+}
+
+/// Number of runs of the task's step and occurrence on the VM.
+std::uint32_t count_runs_of_step(const vm_state& vm, const task_ref& task) {
+    const task_ref first{task.job, task.occurrence, task.step, 0};
+    std::uint32_t count = 0;
+    for (auto run = vm.runs.lower_bound({first, 0});
+         run != vm.runs.end() && run->first.task.job == first.job &&
+         run->first.task.occurrence == first.occurrence && run->first.task.step == first.step;
+         ++run) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
 double separating_cost(const vm_state& vm, const placement_request& request, boot_time now) {
     const double cost = common_cost(vm, request, now);
     if (request.step->fills_idle_cpu) {
@@ -93,39 +114,6 @@
     return cost + reserved_share(vm) + filling_share_weight * filling_share(vm);
 }
 
-/// Number of runs of the task's step and occurrence on the VM.
-std::uint32_t count_runs_of_step(const vm_state& vm, const task_ref& task) {
-    const task_ref first{task.job, task.occurrence, task.step, 0};
-    std::uint32_t count = 0;
-    for (auto run = vm.runs.lower_bound({first, 0});
-         run != vm.runs.end() && run->first.task.job == first.job &&
-         run->first.task.occurrence == first.occurrence && run->first.task.step == first.step;
-         ++run) {
-        ++count;
-    }
-    return count;
-}
-
-template <typename Cost>
-vm_state* lowest_cost_vm(const placement_request& request, vm_table& vms,
-                         const std::set<failure_domain_name>& closed_domains, Cost cost_of) {
-    vm_state* best = nullptr;
-    double best_cost = std::numeric_limits<double>::max();
-    for (auto& [name, vm] : vms) {
-        if (!may_take(vm, request, closed_domains)) {
-            continue;
-        }
-        const double cost = cost_of(vm);
-        if (cost < best_cost) {
-            best = &vm;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
-} // namespace
-
 vm_state* separating_placer::choose(const placement_request& request, vm_table& vms,
                                     const std::set<failure_domain_name>& closed_domains,
                                     boot_time now) {
@@ -154,8 +142,8 @@
                                  : request.pressures->slope(group.image, request.step->image);
         const double loss = slope * need / capacity;
         if (loss > negligible_loss) {
-            const double left = group.own_headroom - sharing_model{}.min_placement_headroom -
-                                group.consumed_headroom;
+            const double left =
+                group.own_headroom - reserve_for(group, request) - group.consumed_headroom;
             speed = std::min(speed, std::max(0.0, left) / loss);
         }
     }
--- a/packages/core/tests/job/simulated_vms.hpp
+++ b/packages/core/tests/job/simulated_vms.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <egretstile/core/job/image_separating_placer.hpp>
 #include <egretstile/core/job/job_scheduler.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace egretstile {
@@ -33,7 +35,12 @@
 class simulated_vms {
 public:
     explicit simulated_vms(std::size_t count, std::size_t vms_of_rack = 2)
-        : scheduler({}, 1, std::make_unique<separating_placer>(),
+        : simulated_vms(count, vms_of_rack, scheduler_settings(),
+                        std::make_unique<separating_placer>()) {}
+
+    simulated_vms(std::size_t count, std::size_t vms_of_rack, const scheduler_settings& settings,
+                  std::unique_ptr<task_placer> placer)
+        : scheduler(settings, 1, std::move(placer),
                     [this](const decision& made) { decisions.push_back(made); }) {
         for (std::size_t number = 0; number < count; ++number) {
             const vm_name name = "vm-" + std::to_string(number);
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/store_keys.hpp"
 
+#include <egretstile/core/job/image_separating_placer.hpp>
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 #include <egretstile/wire/record/record_codec.hpp>
@@ -66,6 +67,13 @@
            text.compare(text.size() - end.size(), end.size(), end) == 0;
 }
 
+std::unique_ptr<task_placer> make_placer(const scheduler_settings& settings) {
+    if (settings.place_by_contention) {
+        return std::make_unique<image_separating_placer>();
+    }
+    return std::make_unique<separating_placer>();
+}
+
 } // namespace
 
 job_leader::job_leader(event_loop& loop, coordination_store& store, const leader_settings& settings,
@@ -75,7 +83,7 @@
     , settings_(settings)
     , leadership_(acquired)
     , handlers_(std::move(callbacks))
-    , scheduler_(settings.scheduler, acquired.epoch, std::make_unique<separating_placer>(),
+    , scheduler_(settings.scheduler, acquired.epoch, make_placer(settings.scheduler),
                  [this](const decision& made) {
                      handlers_.on_decision(made.kind);
                      write_log(log_part::leader, log_level::info,
