core: the order of waiting jobs uses the run times that filling tasks have

Cause: under sustained overload the earliest objective goes first although the job can't meet it any more, because the remaining critical path assumes that tasks run at full speed.

Runs that resumed from a checkpoint or were started by another leader are not learned. job-state shows the ratio of each queue.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/job/decision.hpp>
 #include <egretstile/core/job/job_explanation.hpp>
 #include <egretstile/core/job/job_table.hpp>
+#include <egretstile/core/job/run_time_model.hpp>
 #include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/job/task_placer.hpp>
 #include <egretstile/core/job/vm_table.hpp>
@@ -65,7 +66,8 @@
     /// is started when the closed domains were confirmed longer ago.
     milliseconds closure_age_limit{5000};
     /// While filling tasks that can still be in time wait for room, filling tasks are placed with
-    /// the smaller reserve `sharing_model::contended_placement_headroom`.
+    /// the smaller reserve `sharing_model::contended_placement_headroom`; and jobs are ordered by
+    /// the run times that filling tasks have in fact, not by their estimates alone.
     bool place_by_contention{false};
 };
 
@@ -169,6 +171,9 @@
 
     const job_table& jobs() const { return jobs_; }
 
+    /// Run times of filling tasks compared with their estimates.
+    const run_time_model& run_times() const { return run_times_; }
+
     /// Whether a VM of an earlier leader has not reported yet. Until all have, tasks that an
     /// earlier leader may have started wait, unless one of their runs was reported.
     bool is_recovering() const { return !expected_vms_.empty(); }
@@ -197,6 +202,9 @@
                              std::int64_t wall_ms) const;
     void apply_ends(vm_state& vm, const vm_report& report, boot_time now);
     void apply_end(vm_state& vm, const ended_run& end, boot_time now);
+    /// Learns from the run time of a filling task that is done. Precondition: its run is tracked
+    /// until afterwards.
+    void observe_run_time(const job_entry& job, const ended_run& end, boot_time now);
     void apply_failure(vm_state& vm, job_entry& job, const ended_run& end, boot_time now);
     void apply_active_runs(vm_state& vm, const vm_report& report, boot_time now);
     void apply_active_run(vm_state& vm, const active_run& active, boot_time now);
@@ -307,6 +315,7 @@
     boot_time moves_considered_at_{};
     boot_time checkpoints_marked_at_{};
     pressure_model pressures_;
+    run_time_model run_times_;
     /// Slopes that each VM's agent was sent on its present connection, by serving and filling
     /// image.
     std::map<vm_name, std::map<std::pair<std::string, std::string>, double>> sent_slopes_;
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -25,6 +25,8 @@
     /// the agent has reconnected since.
     std::uint64_t order_number{0};
     boot_time started_at{};
+    /// Started by this leader without a checkpoint, so that `started_at` is the start of the task.
+    bool runs_whole_task{false};
     /// The agent has reported the run as active or starting.
     bool was_listed{false};
     /// A stop has been ordered.
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -169,6 +169,7 @@
         vm.remove_run(end.run);
         return;
     }
+    observe_run_time(*job, end, now);
     untrack_run(vm, end.run);
     task->progress.last_attempt = std::max(task->progress.last_attempt, end.run.attempt);
     if (end.outcome == run_outcome::done && !step_of(*job, end.run.task).long_running) {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -29,9 +29,10 @@
     return found == job.occurrences.end() ? job.occurrences.back() : *found;
 }
 
-/// Largest sum of estimated run times along a chain of dependent steps of the occurrence that are
-/// not done.
-milliseconds remaining_critical_path(const job_entry& job, const occurrence_state& occurrence) {
+/// Largest sum of expected run times along a chain of dependent steps of the occurrence that are
+/// not done. The expected run time is the estimate, for filling tasks times `filling_ratio`.
+milliseconds remaining_critical_path(const job_entry& job, const occurrence_state& occurrence,
+                                     double filling_ratio) {
     milliseconds longest(0);
     std::vector<milliseconds> path_lengths(job.spec.steps.size(), milliseconds(0));
     for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
@@ -40,7 +41,11 @@
             before = std::max(before, path_lengths[earlier]);
         }
         const bool done = occurrence.steps[step].done_count == occurrence.steps[step].tasks.size();
-        path_lengths[step] = before + milliseconds(done ? 0 : job.spec.steps[step].estimate_ms);
+        const double ratio = job.spec.steps[step].fills_idle_cpu ? filling_ratio : 1.0;
+        path_lengths[step] =
+            before +
+            milliseconds(
+                done ? 0 : static_cast<std::int64_t>(ratio * job.spec.steps[step].estimate_ms));
         longest = std::max(longest, path_lengths[step]);
     }
     return longest;
@@ -60,14 +65,15 @@
     }
 };
 
-job_rank rank_of(job_entry& job, std::int64_t wall_ms) {
+job_rank rank_of(job_entry& job, std::int64_t wall_ms, double filling_ratio) {
     const double objective =
         static_cast<double>(job.critical_path.count()) * job.policy.slack_factor +
         static_cast<double>(job.policy.target_completion.count());
     const occurrence_state& occurrence = current_occurrence(job);
     // The objective of a scheduled occurrence counts from its due time, not from the acceptance.
     const std::int64_t ready_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
-    const std::int64_t expected_end_ms = wall_ms + remaining_critical_path(job, occurrence).count();
+    const std::int64_t expected_end_ms =
+        wall_ms + remaining_critical_path(job, occurrence, filling_ratio).count();
     job_rank rank;
     rank.priority = job.policy.priority;
     rank.objective_ms = ready_at_ms + static_cast<std::int64_t>(objective);
@@ -100,11 +106,14 @@
     return false;
 }
 
-std::vector<job_rank> sorted_by_rank(const std::set<job_entry*>& jobs, std::int64_t wall_ms) {
+/// `run_times` is null when tasks are expected to take as long as estimated.
+std::vector<job_rank> sorted_by_rank(const std::set<job_entry*>& jobs, std::int64_t wall_ms,
+                                     const run_time_model* run_times) {
     std::vector<job_rank> ranks;
     ranks.reserve(jobs.size());
     for (job_entry* const job : jobs) {
-        ranks.push_back(rank_of(*job, wall_ms));
+        ranks.push_back(
+            rank_of(*job, wall_ms, run_times == nullptr ? 1.0 : run_times->ratio(job->spec.queue)));
     }
     std::sort(ranks.begin(), ranks.end());
     return ranks;
@@ -204,7 +213,8 @@
     unplaceable_.clear();
     half_idle_.clear();
     std::set<std::string> contended;
-    for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms)) {
+    const run_time_model* const run_times = settings_.place_by_contention ? &run_times_ : nullptr;
+    for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms, run_times)) {
         job_entry* const job = rank.job;
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
             const occurrence_state& occurrence = job->occurrences[k];
@@ -338,6 +348,7 @@
     run.started_at = now;
     run.progressed_at = now;
     run.attributes_known = true;
+    run.runs_whole_task = state.progress.checkpoint.empty();
     state.runs.push_back(run);
     state.progress.last_attempt = std::max(state.progress.last_attempt, attempt);
     job.occurrences[task.occurrence].steps[task.step].waiting.erase(task.index);
--- a/packages/core/source/job/job_scheduler_interference.cpp
+++ b/packages/core/source/job/job_scheduler_interference.cpp
@@ -61,6 +61,15 @@
     }
 }
 
+void job_scheduler::observe_run_time(const job_entry& job, const ended_run& end, boot_time now) {
+    const step_spec& step = job.spec.steps[end.run.task.step];
+    const tracked_run* const run = find_run(end.run);
+    if (end.outcome == run_outcome::done && step.fills_idle_cpu && !step.long_running &&
+        run != nullptr && run->runs_whole_task) {
+        run_times_.observe(job.spec.queue, now - run->started_at, step.estimate_ms);
+    }
+}
+
 std::vector<image_pressure> job_scheduler::unsent_pressures(const vm_state& vm) {
     std::vector<image_pressure> rows;
     std::map<std::pair<std::string, std::string>, double>& sent = sent_slopes_[vm.name];
--- a/packages/daemon/source/jobs/state_page.cpp
+++ b/packages/daemon/source/jobs/state_page.cpp
@@ -45,6 +45,7 @@
         queue->set("service", policy.service);
         queue->set("priority", policy.priority);
         queue->set("pending", scheduler.pending(policy.name));
+        queue->set("run_time_ratio", scheduler.run_times().ratio(policy.name));
         queues->add(queue);
     }
     return queues;
