core, daemon: account of the room for filling tasks, little_headroom beside too_slow

Cause: operators could not see how much processor time is idle, and whether filling tasks wait for processor time or for the headroom of serving tasks.

Change: core/job/room_account splits the processor time of the VMs that report by service and use, and the free part by what withholds it. Shown as the gauge egretstile_room_millicores{service,part}, in job-state, and in job-explain for filling steps that wait for room. The obstacle too_slow now means processor time only; little_headroom is new. The test of docs/metrics.md sets the state of one service first, because a gauge with labels is served from then on.

--- a/packages/core/include/egretstile/core/job/job_explanation.hpp
+++ b/packages/core/include/egretstile/core/job/job_explanation.hpp
@@ -3,11 +3,13 @@
 #include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/job/job_progress.hpp>
 #include <egretstile/core/job/job_spec.hpp>
+#include <egretstile/core/job/room_account.hpp>
 #include <egretstile/core/job/task_placer.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,9 @@
     /// Number of VMs by the obstacle to placing the next waiting task on them. Filled only when the
     /// step waits for room.
     std::map<placement_obstacle, std::size_t> obstacles;
+    /// Processor time of the service's VMs. Filled only when filling tasks of the step wait for
+    /// room.
+    std::optional<service_room> room;
 };
 
 /// State of a job and of its steps, for display to operators.
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/job/decision.hpp>
 #include <egretstile/core/job/job_explanation.hpp>
 #include <egretstile/core/job/job_table.hpp>
+#include <egretstile/core/job/room_account.hpp>
 #include <egretstile/core/job/run_time_model.hpp>
 #include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/job/task_placer.hpp>
@@ -174,6 +175,9 @@
     /// Run times of filling tasks compared with their estimates.
     const run_time_model& run_times() const { return run_times_; }
 
+    /// Processor time by service. Reads all VMs, so it is meant for display.
+    std::map<std::string, service_room> account_room(boot_time now) const;
+
     /// Whether a VM of an earlier leader has not reported yet. Until all have, tasks that an
     /// earlier leader may have started wait, unless one of their runs was reported.
     bool is_recovering() const { return !expected_vms_.empty(); }
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -68,6 +68,14 @@
                      const std::set<failure_domain_name>& closed_domains, boot_time now) override;
 };
 
+/// Millicores that filling tasks can use on the VM, with those that they use now. Thread-safe.
+double fillable_cpu(const vm_state& vm);
+
+/// Headroom that another filling task could take from the serving tasks of the group; negative when
+/// they have less than `placement_headroom`. Tasks without a measured headroom keep at least
+/// `sharing_model::min_placement_headroom`. Thread-safe.
+double spare_headroom(const serving_group& group, double placement_headroom);
+
 /// Expected speed of a filling task on the VM, from 0 (no progress) to 1 (as fast as alone).
 /// Thread-safe.
 double expected_speed(const vm_state& vm, const placement_request& request);
@@ -88,11 +96,13 @@
     no_label,      ///< It lacks the required label.
     too_many_ends, ///< Its runs and unacknowledged ends would not fit in the runner's lists.
     no_room,       ///< Its free resources do not cover the task's need.
-    too_slow,      ///< A filling task would be too slow beside the tasks that run there.
-    limit_per_vm   ///< It already runs the most tasks of the step that one VM may run.
+    too_slow,      ///< A filling task would be too slow for lack of processor time.
+    limit_per_vm,  ///< It already runs the most tasks of the step that one VM may run.
+    /// A filling task would be too slow, because serving tasks have too little headroom.
+    little_headroom
 };
 
-inline constexpr std::array<enum_name<placement_obstacle>, 10> placement_obstacle_names{
+inline constexpr std::array<enum_name<placement_obstacle>, 11> placement_obstacle_names{
     {{placement_obstacle::none, "none"},
      {placement_obstacle::not_ready, "not_ready"},
      {placement_obstacle::other_service, "other_service"},
@@ -102,7 +112,8 @@
      {placement_obstacle::too_many_ends, "too_many_ends"},
      {placement_obstacle::no_room, "no_room"},
      {placement_obstacle::too_slow, "too_slow"},
-     {placement_obstacle::limit_per_vm, "limit_per_vm"}}};
+     {placement_obstacle::limit_per_vm, "limit_per_vm"},
+     {placement_obstacle::little_headroom, "little_headroom"}}};
 
 /// First reason why the task cannot be placed on the VM, or `none`. Thread-safe.
 placement_obstacle obstacle_of(const vm_state& vm, const placement_request& request,
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -64,6 +64,8 @@
     std::int64_t filling_millicores{0};
     /// Millicores that serving tasks use for their users, as of the last report.
     double serving_used_millicores{0};
+    /// Millicores that filling tasks use, as of the last report.
+    std::int64_t filling_used_millicores{0};
     /// One group for each serving image, as of the last report; `consumed_headroom` is updated with
     /// each start.
     std::vector<serving_group> serving;
--- a/packages/core/source/job/job_scheduler_explanation.cpp
+++ b/packages/core/source/job/job_scheduler_explanation.cpp
@@ -53,10 +53,19 @@
         for (const auto& [name, vm] : vms_) {
             ++result.obstacles[obstacle_of(vm, request, closed_domains_)];
         }
+        if (request.step->fills_idle_cpu) {
+            result.room = account_room(now)[job.policy.service];
+        }
     }
     return result;
 }
 
+std::map<std::string, service_room> job_scheduler::account_room(boot_time now) const {
+    return egretstile::account_room(
+        vms_, closed_domains_,
+        [this](const std::string& service) { return placement_headroom(service); }, now);
+}
+
 step_wait job_scheduler::wait_reason_of(const job_entry& job, const task_ref& next, boot_time now,
                                         std::int64_t wall_ms) const {
     const occurrence_state& occurrence = job.occurrences[next.occurrence];
--- a/packages/core/source/job/job_scheduler_interference.cpp
+++ b/packages/core/source/job/job_scheduler_interference.cpp
@@ -28,6 +28,10 @@
     }
     pressures_.observe(vm.name, runs, vm.runner.capacity.cpu_millicores, now);
     vm.serving_used_millicores = pressures_.serving_used_millicores(runs);
+    vm.filling_used_millicores = 0;
+    for (const guarded_run& run : runs) {
+        vm.filling_used_millicores += run.fills_idle_cpu ? run.used_millicores : 0;
+    }
     vm.serving.clear();
     for (const guarded_run& run : runs) {
         if (run.target_latency_ms == 0) {
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -40,12 +40,6 @@
 /// for a task that neither serves nor fills.
 constexpr double filling_share_weight = 0.3;
 
-/// Millicores that filling tasks can use on the VM.
-double fillable_cpu(const vm_state& vm) {
-    return fillable_millicores({}, vm.runner.capacity.cpu_millicores, vm.serving_used_millicores,
-                               vm.reserved.cpu_millicores - vm.serving_millicores);
-}
-
 double reserved_share(const vm_state& vm) {
     const double capacity =
         static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
@@ -72,11 +66,31 @@
     return cost;
 }
 
-/// Headroom that the serving tasks of the group must keep when a filling task is placed.
-double reserve_for(const serving_group& group, const placement_request& request) {
-    return group.measured
-               ? request.placement_headroom
-               : std::max(request.placement_headroom, sharing_model{}.min_placement_headroom);
+/// Expected speed of a filling task as far as processor time limits it, 0 to 1.
+double speed_by_cpu(const vm_state& vm, const placement_request& request) {
+    const double need =
+        static_cast<double>(std::max<std::int64_t>(request.step->need.cpu_millicores, 1));
+    return std::min(1.0, fillable_cpu(vm) / (static_cast<double>(vm.filling_millicores) + need));
+}
+
+/// Expected speed of a filling task as far as the headroom of serving tasks limits it, 0 to 1.
+double speed_by_headroom(const vm_state& vm, const placement_request& request) {
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
+    const double need =
+        static_cast<double>(std::max<std::int64_t>(request.step->need.cpu_millicores, 1));
+    double speed = 1.0;
+    for (const serving_group& group : vm.serving) {
+        const double slope = request.pressures == nullptr
+                                 ? pressure_model_settings{}.prior_slope
+                                 : request.pressures->slope(group.image, request.step->image);
+        const double loss = slope * need / capacity;
+        if (loss > negligible_loss) {
+            const double left = spare_headroom(group, request.placement_headroom);
+            speed = std::min(speed, std::max(0.0, left) / loss);
+        }
+    }
+    return speed;
 }
 
 /// Number of runs of the task's step and occurrence on the VM.
@@ -94,6 +108,18 @@
 
 } // namespace
 
+double fillable_cpu(const vm_state& vm) {
+    return fillable_millicores({}, vm.runner.capacity.cpu_millicores, vm.serving_used_millicores,
+                               vm.reserved.cpu_millicores - vm.serving_millicores);
+}
+
+double spare_headroom(const serving_group& group, double placement_headroom) {
+    const double reserve =
+        group.measured ? placement_headroom
+                       : std::max(placement_headroom, sharing_model{}.min_placement_headroom);
+    return group.own_headroom - reserve - group.consumed_headroom;
+}
+
 double separating_cost(const vm_state& vm, const placement_request& request, boot_time now) {
     const double cost = common_cost(vm, request, now);
     if (request.step->fills_idle_cpu) {
@@ -130,24 +156,7 @@
 }
 
 double expected_speed(const vm_state& vm, const placement_request& request) {
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(vm.runner.capacity.cpu_millicores, 1));
-    const double need =
-        static_cast<double>(std::max<std::int64_t>(request.step->need.cpu_millicores, 1));
-    const double requested = static_cast<double>(vm.filling_millicores) + need;
-    double speed = std::min(1.0, fillable_cpu(vm) / requested);
-    for (const serving_group& group : vm.serving) {
-        const double slope = request.pressures == nullptr
-                                 ? pressure_model_settings{}.prior_slope
-                                 : request.pressures->slope(group.image, request.step->image);
-        const double loss = slope * need / capacity;
-        if (loss > negligible_loss) {
-            const double left =
-                group.own_headroom - reserve_for(group, request) - group.consumed_headroom;
-            speed = std::min(speed, std::max(0.0, left) / loss);
-        }
-    }
-    return speed;
+    return std::min(speed_by_cpu(vm, request), speed_by_headroom(vm, request));
 }
 
 vm_run needs_of(const step_spec& step) {
@@ -194,9 +203,13 @@
         return placement_obstacle::no_room;
     }
     if (step.fills_idle_cpu && !request.accept_slow &&
-        (vm.filling_millicores > 0 || vm.serving_millicores > 0) &&
-        expected_speed(vm, request) < min_start_speed) {
-        return placement_obstacle::too_slow;
+        (vm.filling_millicores > 0 || vm.serving_millicores > 0)) {
+        if (speed_by_cpu(vm, request) < min_start_speed) {
+            return placement_obstacle::too_slow;
+        }
+        if (speed_by_headroom(vm, request) < min_start_speed) {
+            return placement_obstacle::little_headroom;
+        }
     }
     return step.max_per_vm > 0 && count_runs_of_step(vm, request.task) >= step.max_per_vm
                ? placement_obstacle::limit_per_vm
--- a/packages/daemon/source/jobs/job_entry_metrics.cpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.cpp
@@ -78,6 +78,33 @@
     vms_.Set(static_cast<double>(state.vms));
     connections_.Set(static_cast<double>(state.connections));
     dropped_log_lines_.Set(static_cast<double>(state.dropped_log_lines));
+    set_rooms(state.rooms);
+}
+
+job_entry_metrics::room_gauges& job_entry_metrics::room_gauges_of(const std::string& service) {
+    const auto [found, added] = rooms_.try_emplace(service);
+    if (added) {
+        for (const enum_name<room_part>& row : room_part_names) {
+            found->second.at(static_cast<std::size_t>(row.value)) =
+                &metrics_.gauge("egretstile_room_millicores",
+                                "Processor time of the service's VMs by part, at the leader.",
+                                {{"service", service}, {"part", std::string(row.name)}});
+        }
+    }
+    return found->second;
+}
+
+void job_entry_metrics::set_rooms(const std::map<std::string, service_room>& rooms) {
+    for (const auto& [service, room] : rooms) {
+        room_gauges_of(service);
+    }
+    for (const auto& [service, gauges] : rooms_) {
+        const auto room = rooms.find(service);
+        for (std::size_t part = 0; part < gauges.size(); ++part) {
+            gauges.at(part)->Set(
+                room == rooms.end() ? 0.0 : static_cast<double>(room->second.parts.at(part)));
+        }
+    }
 }
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_entry_metrics.hpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.hpp
@@ -5,10 +5,13 @@
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/job/decision.hpp>
+#include <egretstile/core/job/room_account.hpp>
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace egretstile::daemon {
 
@@ -51,9 +54,12 @@
     std::size_t vms{0};
     std::size_t connections{0};
     std::uint64_t dropped_log_lines{0};
+    /// Processor time by service; empty when this entry does not lead.
+    std::map<std::string, service_room> rooms;
 };
 
-/// Metrics of a job entry; docs/metrics.md lists them. Thread-safe.
+/// Metrics of a job entry; docs/metrics.md lists them. Thread-safe, except that one thread at a
+/// time may call `set_state`.
 class job_entry_metrics {
 public:
     job_entry_metrics();
@@ -65,7 +71,16 @@
     metrics& registry() { return metrics_; }
 
 private:
+    /// Gauges of one service, indexed by `room_part`.
+    using room_gauges = std::array<prometheus::Gauge*, room_part_names.size()>;
+
+    room_gauges& room_gauges_of(const std::string& service);
+    /// Sets the gauges of all services; those of services without a VM to zero.
+    void set_rooms(const std::map<std::string, service_room>& rooms);
+
     metrics metrics_;
+    /// Gauges of the services that have had a VM, so that they can be set to zero.
+    std::map<std::string, room_gauges> rooms_;
     std::array<std::array<prometheus::Counter*, job_call_outcome_names.size()>,
                job_call_names.size()>
         calls_{};
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -326,6 +326,7 @@
         state.jobs = scheduler.job_count();
         state.unfinished_jobs = scheduler.jobs().unfinished().size();
         state.vms = scheduler.vms().size();
+        state.rooms = scheduler.account_room(boot_now());
     }
     state.config_version = config_version();
     if (const std::optional<boot_time> confirmed = operators_.confirmed_at()) {
--- a/packages/daemon/source/jobs/state_page.cpp
+++ b/packages/daemon/source/jobs/state_page.cpp
@@ -84,6 +84,31 @@
     return vms;
 }
 
+Object::Ptr to_json(const service_room& room) {
+    Object::Ptr object = new Object;
+    object->set("vms", room.vms);
+    for (const enum_name<room_part>& row : room_part_names) {
+        object->set(std::string(row.name) + "_millicores", room.at(row.value));
+    }
+    Object::Ptr images = new Object;
+    for (const auto& [image, withheld] : room.withheld_by_image) {
+        Object::Ptr entry = new Object;
+        entry->set("vms", withheld.vms);
+        entry->set("millicores", withheld.millicores);
+        images->set(image, entry);
+    }
+    object->set("withheld_headroom_by_image", images);
+    return object;
+}
+
+Object::Ptr rooms_of(const job_scheduler& scheduler, boot_time now) {
+    Object::Ptr rooms = new Object;
+    for (const auto& [service, room] : scheduler.account_room(now)) {
+        rooms->set(service, to_json(room));
+    }
+    return rooms;
+}
+
 Object::Ptr to_json(const running_task& run) {
     Object::Ptr object = new Object;
     object->set("task", to_string(run.task));
@@ -108,6 +133,9 @@
         }
         object->set("vms_by_obstacle", obstacles);
     }
+    if (step.room) {
+        object->set("room", to_json(*step.room));
+    }
     Array::Ptr running = new Array;
     for (const running_task& run : step.running) {
         running->add(to_json(run));
@@ -152,6 +180,7 @@
     if (config != nullptr) {
         object.set("queues", queues_of(*config, *scheduler));
     }
+    object.set("room", rooms_of(*scheduler, now));
     object.set("vms", vms_of(*scheduler, now));
     return text_of(object);
 }
--- a/packages/daemon/tests/jobs/state_page_test.cpp
+++ b/packages/daemon/tests/jobs/state_page_test.cpp
@@ -38,6 +38,8 @@
         parsed(describe_deployment(two_entries(), &config, &scheduler, boot_time()));
     CHECK(state->getValue<std::uint64_t>("oldest_config_version") == 7);
     CHECK(state->getArray("entries")->size() == 2);
+    CHECK(state->getArray("queues")->getObject(0)->getValue<double>("run_time_ratio") == 1.0);
+    CHECK(state->has("room"));
     CHECK(state->getArray("queues")->getObject(0)->getValue<std::string>("name") == "queue");
 }
 
@@ -60,6 +62,12 @@
     step.waiting = 2;
     step.waits_for = step_wait::room;
     step.obstacles[placement_obstacle::no_room] = 11;
+    step.obstacles[placement_obstacle::little_headroom] = 4;
+    service_room room;
+    room.vms = 15;
+    room.at(room_part::withheld_headroom) = 9000;
+    room.withheld_by_image["server"] = {4, 9000};
+    step.room = room;
     step.running.push_back({{"a1", 0, 1, 4}, 2, "side-1", 40, false});
     job.steps.push_back(step);
     const Poco::JSON::Object::Ptr page = parsed(describe_job("a1", job));
@@ -68,6 +76,12 @@
     CHECK(shown->getValue<std::string>("step") == "0.1");
     CHECK(shown->getValue<std::string>("waits_for") == "room");
     CHECK(shown->getObject("vms_by_obstacle")->getValue<int>("no_room") == 11);
+    CHECK(shown->getObject("vms_by_obstacle")->getValue<int>("little_headroom") == 4);
+    const Poco::JSON::Object::Ptr withheld = shown->getObject("room");
+    CHECK(withheld->getValue<int>("withheld_headroom_millicores") == 9000);
+    CHECK(withheld->getObject("withheld_headroom_by_image")
+              ->getObject("server")
+              ->getValue<int>("vms") == 4);
     CHECK(shown->getArray("running")->getObject(0)->getValue<std::string>("task") == "a1.0.1.4");
 }
 
--- a/packages/daemon/tests/telemetry/metrics_page_test.cpp
+++ b/packages/daemon/tests/telemetry/metrics_page_test.cpp
@@ -62,6 +62,9 @@
 
 TEST_CASE("docs/metrics.md lists exactly the metrics that a job entry serves") {
     job_entry_metrics served;
+    job_entry_state state;
+    state.rooms["service"] = {};
+    served.set_state(state);
     const metered_store store(nullptr, served.registry());
     check_section("Job entry", served.registry().text());
 }
@@ -72,6 +75,19 @@
     check_section("Job agent", served.registry().text());
 }
 
+// Failure: an entry stops leading, or the last VM of a service is lost. Guards against gauges that
+// show its room as it was then.
+TEST_CASE("the room of a service without VMs is shown as zero") {
+    job_entry_metrics served;
+    job_entry_state state;
+    state.rooms["batch"].at(room_part::free) = 4000;
+    served.set_state(state);
+    const std::string row = "egretstile_room_millicores{part=\"free\",service=\"batch\"} ";
+    CHECK(served.registry().text().find(row + "4000\n") != std::string::npos);
+    served.set_state(job_entry_state());
+    CHECK(served.registry().text().find(row + "0\n") != std::string::npos);
+}
+
 // Guards against a refusal that is counted as an unknown outcome, and an unknown outcome that is
 // counted as a refusal.
 TEST_CASE("each HTTP status is counted as the outcome that it reports to the caller") {
