--- a/packages/core/tests/job/job_scheduler_property_test.cpp
+++ b/packages/core/tests/job/job_scheduler_property_test.cpp
@@ -28,6 +28,18 @@
     return job;
 }
 
+/// Like `two_step_job`; some steps fill idle processor time, some serve, with few images.
+job_spec contended_job(std::uint64_t number, std::mt19937_64& random) {
+    job_spec job = two_step_job(number, random);
+    for (step_spec& step : job.steps) {
+        const std::uint64_t kind = random() % 3;
+        step.fills_idle_cpu = kind == 0;
+        step.target_latency_ms = kind == 1 ? 100 : 0;
+        step.image = "image-" + std::to_string(random() % 3);
+    }
+    return job;
+}
+
 void expect_no_violations(const cluster_model& cluster, std::uint64_t seed) {
     const std::vector<std::string> violations = cluster.violations();
     INFO("seed " << seed << ", " << violations.size()
@@ -74,5 +86,27 @@
     }
 }
 
+// Load: filling, serving and plain tasks of a few images, placed by contention. Guards against the
+// same violations, and against jobs that wait forever for headroom.
+TEST_CASE("placement by contention keeps the rules in any interleaving and completes all jobs") {
+    scheduler_settings settings;
+    settings.place_by_contention = true;
+    for (std::uint64_t round = 0; round < 20; ++round) {
+        const std::uint64_t seed = test_seed() + 2000 + round;
+        std::mt19937_64 random(seed);
+        cluster_model cluster(seed, {}, settings);
+        for (std::uint64_t number = 0; number < 15; ++number) {
+            cluster.submit(contended_job(number, random));
+            cluster.run(milliseconds(1000), true);
+        }
+        cluster.run(milliseconds(90000), false);
+        for (std::uint64_t number = 0; number < 15; ++number) {
+            INFO("seed " << seed << " job " << number);
+            CHECK(cluster.state_of("job-" + std::to_string(number)) == job_state::completed);
+        }
+        expect_no_violations(cluster, seed);
+    }
+}
+
 } // namespace
 } // namespace egretstile::model
