core, wire, daemon: runner health tells failing VMs from failing tasks

Cause: a VM that fails each task within 60 ms is always empty, so it takes task after task and uses up their attempts; a penalty in the placement cost does not prevent it.

Change: the module runner_health keeps the failures of each VM that no later run refutes. A VM on which runs of several jobs fail quickly becomes suspect and gets single trials. Tasks with one attempt left wait for a proven VM. The new obstacles are suspect_vm and unproven_vm, the new decisions suspect_vm, trust_vm and start_trial. Agents report their recent ends for a new leader (frame_version 5). In force when contract_parts names health.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -64,6 +64,10 @@
     /// A failure domain that was taken out of service must get no task after this time, so no task
     /// is started when the closed domains were confirmed longer ago.
     milliseconds closure_age_limit{5000};
+    /// Whether VMs whose runs fail become suspect, instead of being avoided for `avoidance_period`.
+    bool track_runner_health{false};
+    /// A task with one attempt left whose job is already late waits this long for a proven VM.
+    milliseconds late_proof_wait{3000};
 };
 
 /// Decides on the leader which task runs on which VM. Produces orders for agents and progress to be
@@ -111,7 +115,10 @@
 
     /// Removes a VM whose registration was removed from the store. Precondition: `idle_vms` listed
     /// the VM and no report of it was applied since.
-    void remove_vm(const vm_name& name) { vms_.erase(name); }
+    void remove_vm(const vm_name& name) {
+        vms_.erase(name);
+        health_.remove_vm(name);
+    }
 
     bool is_registered(const vm_name& name) const { return vms_.count(name) != 0; }
 
@@ -271,6 +278,24 @@
     /// domains is reserved.
     bool is_half_idle(const std::string& service) const;
     start_order attributes_of(const job_entry& job, const task_attempt& run) const;
+    /// Time that the job has left to meet its objective; negative when it is late.
+    static milliseconds spare_time(const job_entry& job, std::int64_t wall_ms);
+    /// Number of further runs of the task that may be started. Precondition: its step is not
+    /// long-running.
+    std::size_t attempts_left(const job_entry& job, const task_ref& task) const;
+    /// Whether the task has one attempt left and the health of VMs is tracked.
+    bool is_last_attempt(const job_entry& job, const task_ref& task) const;
+    health_demand health_demand_of(const job_entry& job, const task_ref& task, boot_time now) const;
+    /// Begins the wait of a task with one attempt left for a proven VM, unless it has begun.
+    void begin_proof_wait(job_entry& job, const task_ref& task, boot_time now);
+    void note_runner_report(vm_state& vm, const vm_report& report, boot_time now);
+    void note_run_start(vm_state& vm, const task_attempt& run, boot_time now);
+    void note_run_dropped(vm_state& vm, const task_attempt& run, boot_time now);
+    void note_run_end(vm_state& vm, const ended_run& end, boot_time now);
+    /// Updates the health of a VM after its report was applied.
+    void judge_health(vm_state& vm, const vm_report& report, boot_time now);
+    void apply_health_changes(const std::vector<health_change>& changes);
+    std::size_t count_ready_vms(const std::string& service) const;
     void record_decision(decision_kind kind, const std::string& fields) const;
 
     scheduler_settings settings_;
@@ -297,6 +322,9 @@
     std::map<std::string, bool> half_idle_;
     boot_time moves_considered_at_{};
     boot_time checkpoints_marked_at_{};
+    /// Wall-clock time of the present pass in milliseconds since 1970.
+    std::int64_t pass_wall_ms_{0};
+    runner_health health_;
     pressure_model pressures_;
     /// Slopes that each VM's agent was sent on its present connection, by serving and filling
     /// image.
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -48,6 +48,10 @@
     boot_time retry_at{};
     /// VM on which the task failed, stalled or was rejected last; another one is preferred.
     vm_name failed_on;
+    /// VMs on which a run of the task ended as failed, as far as this leader knows.
+    std::vector<vm_name> failed_vms;
+    /// Until when a task with one attempt left waits for a proven VM; nothing: it does not wait.
+    std::optional<boot_time> proof_wait_until;
 };
 
 /// One step of one occurrence.
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -128,6 +128,8 @@
     /// Longest time on this VM's clock until all tasks under a lease of this length have ended.
     milliseconds longest_lease(milliseconds length) const;
     void clear_runner_state();
+    /// Counts the ends in `ended_` that were not listed before.
+    void count_new_ends(boot_time now);
     /// Replaces the lists; keeps active runs that incomplete lists leave out.
     void replace_lists(run_lists&& lists);
 
@@ -144,6 +146,11 @@
     runner_end_evidence runner_end_{runner_end_evidence::none};
     std::vector<active_run> active_;
     std::vector<ended_run> ended_;
+    /// Whether each run that ended lately as done or failed was done, and when its end was listed
+    /// first.
+    std::deque<std::pair<boot_time, bool>> recent_ends_;
+    /// Number of the last end that was counted in `recent_ends_`.
+    std::uint64_t counted_end_{0};
     std::map<task_attempt, pending_start> starts_;
     std::map<task_attempt, pending_stop> stops_;
     /// Runs whose start the runner has confirmed or refused as superseded, or that are missing from
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -55,6 +55,10 @@
     /// The agent's estimates of the pressure between images, in the first report on a connection,
     /// because a new leader has none.
     std::vector<image_pressure> pressures;
+    /// Number of runs of the runner's present instance that ended as done and as failed within the
+    /// last 10 s, because a new leader knows no earlier ends.
+    std::uint32_t recent_done{0};
+    std::uint32_t recent_failed{0};
 
     /// Whether the registered runner has ended. Thread-safe.
     bool has_runner_ended() const { return runner_end != runner_end_evidence::none; }
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -29,6 +29,8 @@
     std::string rack;
     /// VM on which the task failed last; chosen only when no other can take the task.
     vm_name last_failed_vm;
+    /// What the task requires of the health of its VM.
+    health_demand health;
 };
 
 /// Chooses VMs for tasks. Implementations are not thread-safe.
@@ -85,10 +87,12 @@
     too_many_ends, ///< Its runs and unacknowledged ends would not fit in the runner's lists.
     no_room,       ///< Its free resources do not cover the task's need.
     too_slow,      ///< A filling task would be too slow beside the tasks that run there.
-    limit_per_vm   ///< It already runs the most tasks of the step that one VM may run.
+    limit_per_vm,  ///< It already runs the most tasks of the step that one VM may run.
+    suspect_vm,    ///< Its runner fails its runs, and the task is not its trial.
+    unproven_vm    ///< The task needs a VM with a recent successful run and no recent failures.
 };
 
-inline constexpr std::array<enum_name<placement_obstacle>, 10> placement_obstacle_names{
+inline constexpr std::array<enum_name<placement_obstacle>, 12> placement_obstacle_names{
     {{placement_obstacle::none, "none"},
      {placement_obstacle::not_ready, "not_ready"},
      {placement_obstacle::other_service, "other_service"},
@@ -98,7 +102,9 @@
      {placement_obstacle::too_many_ends, "too_many_ends"},
      {placement_obstacle::no_room, "no_room"},
      {placement_obstacle::too_slow, "too_slow"},
-     {placement_obstacle::limit_per_vm, "limit_per_vm"}}};
+     {placement_obstacle::limit_per_vm, "limit_per_vm"},
+     {placement_obstacle::suspect_vm, "suspect_vm"},
+     {placement_obstacle::unproven_vm, "unproven_vm"}}};
 
 /// First reason why the task cannot be placed on the VM, or `none`. Thread-safe.
 placement_obstacle obstacle_of(const vm_state& vm, const placement_request& request,
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -2,6 +2,7 @@
 
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/job/job_spec.hpp>
+#include <egretstile/core/job/runner_health.hpp>
 #include <egretstile/core/job/runner_types.hpp>
 
 #include <cstdint>
@@ -78,6 +79,8 @@
     /// avoided.
     std::uint32_t failures_in_row{0};
     boot_time avoided_until{};
+    /// Copy of what `runner_health` knows; unused unless the scheduler tracks it.
+    vm_health health;
 
     /// Adds a run and its reservation; does nothing when the run is already there.
     void add_run(const task_attempt& run, const vm_run& needs);
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -126,8 +126,10 @@
                        std::chrono::duration_cast<milliseconds>(settings_.permission_term *
                                                                 (1.0 + settings_.clock_drift)) +
                        settings_.lapse_margin;
+    note_runner_report(vm, report, now);
     apply_ends(vm, report, now);
     apply_active_runs(vm, report, now);
+    judge_health(vm, report, now);
     apply_rejected_runs(vm, report, now);
     if (report.lists_complete) {
         stop_missing_runs(vm, report, now);
@@ -165,6 +167,7 @@
     record_decision(decision_kind::run_ended,
                     fields_of(end.run, vm.name) +
                         field("outcome", std::string(name_of(run_outcome_names, end.outcome))));
+    note_run_end(vm, end, now);
     if (job == nullptr || task == nullptr) {
         vm.remove_run(end.run);
         return;
@@ -201,7 +204,7 @@
 
 void job_scheduler::apply_failure(vm_state& vm, job_entry& job, const ended_run& end,
                                   boot_time now) {
-    if (++vm.failures_in_row >= settings_.avoid_after_failures) {
+    if (++vm.failures_in_row >= settings_.avoid_after_failures && !settings_.track_runner_health) {
         vm.avoided_until = now + settings_.avoidance_period;
         record_decision(decision_kind::avoid_vm,
                         field("vm", vm.name) +
@@ -214,6 +217,10 @@
     if (step.long_running) {
         return;
     }
+    if (std::find(task.failed_vms.begin(), task.failed_vms.end(), vm.name) ==
+        task.failed_vms.end()) {
+        task.failed_vms.push_back(vm.name);
+    }
     // A failed run of a gang counts once: its failures are recorded by attempt at the first task.
     const task_ref counted{end.run.task.job, end.run.task.occurrence, end.run.task.step,
                            step.gang ? 0 : end.run.task.index};
@@ -222,6 +229,7 @@
         return;
     }
     failed.push_back(end.run.attempt);
+    jobs_.find_task(counted)->proof_wait_until.reset();
     jobs_.mark_changed(job);
     if (failed.size() >= job.policy.max_attempts && !is_final(job.state)) {
         record_decision(decision_kind::job_failed,
@@ -358,6 +366,7 @@
 void job_scheduler::release_run(vm_state& vm, const task_attempt& run, boot_time retry_at,
                                 boot_time now) {
     untrack_run(vm, run);
+    note_run_dropped(vm, run, now);
     job_entry* const job = jobs_.find(run.task.job);
     job_task* const task = jobs_.find_task(run.task);
     if (job != nullptr && task != nullptr) {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -20,6 +20,10 @@
 /// beyond.
 constexpr double late_factor = 3.0;
 
+/// Tasks with one attempt left of one step for which a VM is searched in one pass. The other ones
+/// mostly wait for the same VMs.
+constexpr std::size_t max_refused_last_attempts = 4;
+
 /// First occurrence that is not done. Precondition: the job is unfinished.
 const occurrence_state& current_occurrence(const job_entry& job) {
     const auto found = std::find_if(job.occurrences.begin(), job.occurrences.end(),
@@ -60,10 +64,14 @@
     }
 };
 
+/// Time from when a job is ready until it should be done, in milliseconds.
+double objective_of(const job_entry& job) {
+    return static_cast<double>(job.critical_path.count()) * job.policy.slack_factor +
+           static_cast<double>(job.policy.target_completion.count());
+}
+
 job_rank rank_of(job_entry& job, std::int64_t wall_ms) {
-    const double objective =
-        static_cast<double>(job.critical_path.count()) * job.policy.slack_factor +
-        static_cast<double>(job.policy.target_completion.count());
+    const double objective = objective_of(job);
     const occurrence_state& occurrence = current_occurrence(job);
     // The objective of a scheduled occurrence counts from its due time, not from the acceptance.
     const std::int64_t ready_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
@@ -117,7 +125,15 @@
 
 } // namespace
 
+milliseconds job_scheduler::spare_time(const job_entry& job, std::int64_t wall_ms) {
+    const occurrence_state& occurrence = current_occurrence(job);
+    const std::int64_t ready_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
+    return milliseconds(ready_at_ms + static_cast<std::int64_t>(objective_of(job)) - wall_ms) -
+           remaining_critical_path(job, occurrence);
+}
+
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
+    pass_wall_ms_ = wall_ms;
     give_up_silent_vms(now);
     move_off_draining_vms(now);
     if (now >= checkpoints_marked_at_ + settings_.checkpoint_interval) {
@@ -231,16 +247,28 @@
 void job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
                                boot_time now) {
     const std::set<std::uint32_t> waiting = job.occurrences[occurrence].steps[step].waiting;
+    std::size_t refused = 0;
     for (const std::uint32_t index : waiting) {
         const task_ref task{job.spec.id, occurrence, step, index};
         const job_task& state = *jobs_.find_task(task);
         if (state.retry_at > now || may_have_unreported_run(job, state)) {
             continue;
         }
-        if (!start_task(job, task, now)) {
-            record_waiting_step(job, occurrence, step, now);
+        const bool last_attempt = is_last_attempt(job, task);
+        if (last_attempt && refused >= max_refused_last_attempts) {
+            begin_proof_wait(job, task, now);
+            continue;
+        }
+        if (start_task(job, task, now)) {
+            continue;
+        }
+        record_waiting_step(job, occurrence, step, now);
+        if (!last_attempt) {
             return;
         }
+        // Tasks with attempts to spare may start where this one must not.
+        begin_proof_wait(job, task, now);
+        ++refused;
     }
 }
 
@@ -292,6 +320,7 @@
     request.task = task;
     request.last_failed_vm = state.failed_on;
     request.pressures = &pressures_;
+    request.health = health_demand_of(job, task, now);
     for (const tracked_run& run : state.runs) {
         request.excluded.insert(run.vm);
     }
@@ -308,7 +337,11 @@
     }
     vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
     if (vm == nullptr) {
-        if (request.step->fills_idle_cpu) {
+        if (request.health.enabled && !request.health.may_be_trial) {
+            health_.note_waiting(job.policy.service, now);
+        }
+        // A task with one attempt left is refused VMs that others of its image may take.
+        if (request.step->fills_idle_cpu && !is_last_attempt(job, task)) {
             unplaceable_[{job.policy.service, request.step->image}] = request.step->need;
         }
         return false;
@@ -323,6 +356,7 @@
     const step_spec& step = job.spec.steps[task.step];
     vm.add_run({task, attempt}, needs_of(step));
     update_consumed_headroom(vm);
+    note_run_start(vm, {task, attempt}, now);
     tracked_run run;
     run.attempt = attempt;
     run.vm = vm.name;
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -22,6 +22,9 @@
         place_gang(job, {job.spec.id, occurrence, step, 0}, attempt, now);
     if (members.empty()) {
         record_waiting_step(job, occurrence, step, now);
+        if (is_last_attempt(job, {job.spec.id, occurrence, step, 0})) {
+            begin_proof_wait(job, {job.spec.id, occurrence, step, 0}, now);
+        }
         return;
     }
     for (const gang_member& member : members) {
@@ -61,6 +64,7 @@
         request.task.index = index;
         request.rack = rack;
         request.pressures = &pressures_;
+        request.health = health_demand_of(job, request.task, now);
         request.last_failed_vm = jobs_.find_task(request.task)->failed_on;
         vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
         if (vm == nullptr) {
--- a/packages/core/source/job/job_scheduler_moves.cpp
+++ b/packages/core/source/job/job_scheduler_moves.cpp
@@ -100,6 +100,7 @@
     request.step = &job.spec.steps[task.step];
     request.task = task;
     request.pressures = &pressures_;
+    request.health = health_demand_of(job, task, now);
     request.excluded = {present};
     return placer_->choose(request, vms_, closed_domains_, now);
 }
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -8,6 +8,8 @@
 
 /// Number of reports whose time of sending is kept; more than are sent while a permission lasts.
 constexpr std::size_t max_sent_reports = 2000;
+/// Ends are counted in reports for this long.
+constexpr milliseconds recent_end_age(10000);
 
 bool contains_run(const std::vector<active_run>& runs, const task_attempt& run) {
     return std::any_of(runs.begin(), runs.end(),
@@ -48,6 +50,8 @@
     lists_complete_ = false;
     active_.clear();
     ended_.clear();
+    recent_ends_.clear();
+    counted_end_ = 0;
     starts_.clear();
     stops_.clear();
     confirmed_.clear();
@@ -205,6 +209,18 @@
     }
 }
 
+void run_tracker::count_new_ends(boot_time now) {
+    for (const ended_run& end : ended_) {
+        if (end.number <= counted_end_) {
+            continue;
+        }
+        counted_end_ = end.number;
+        if (end.outcome == run_outcome::done || end.outcome == run_outcome::failed) {
+            recent_ends_.emplace_back(now, end.outcome == run_outcome::done);
+        }
+    }
+}
+
 void run_tracker::replace_lists(run_lists&& lists) {
     const std::vector<active_run> former = std::exchange(active_, std::move(lists.active));
     ended_ = std::move(lists.ended);
@@ -233,6 +249,7 @@
     const bool new_end = !lists.ended.empty() &&
                          (ended_.empty() || lists.ended.back().number > ended_.back().number);
     replace_lists(std::move(lists));
+    count_new_ends(now);
     urgent_change_ = urgent_change_ || new_end || !lists_known_;
     lists_known_ = true;
     runner_end_ = runner_end_evidence::none;
@@ -319,6 +336,12 @@
         row.second = row.second == 0 ? report_count_ : row.second;
         report.rejected.push_back(row.first);
     }
+    while (!recent_ends_.empty() && now > recent_ends_.front().first + recent_end_age) {
+        recent_ends_.pop_front();
+    }
+    for (const auto& [listed_at, done] : recent_ends_) {
+        ++(done ? report.recent_done : report.recent_failed);
+    }
     sent_reports_.emplace_back(report_count_, now);
     if (sent_reports_.size() > max_sent_reports) {
         sent_reports_.pop_front();
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -57,11 +57,19 @@
     return static_cast<double>(vm.filling_millicores) / capacity;
 }
 
+bool has_failed_on(const health_demand& demand, const vm_name& vm) {
+    return std::find(demand.failed_vms.begin(), demand.failed_vms.end(), vm) !=
+           demand.failed_vms.end();
+}
+
 double common_cost(const vm_state& vm, const placement_request& request, boot_time now) {
     double cost = 0;
     if (vm.name == request.last_failed_vm) {
         cost += last_failed_vm_penalty;
     }
+    if (has_failed_on(request.health, vm.name)) {
+        cost += last_failed_vm_penalty;
+    }
     if (vm.avoided_until > now) {
         cost += avoided_penalty;
     }
@@ -106,6 +114,22 @@
     return count;
 }
 
+placement_obstacle health_obstacle(const vm_state& vm, const placement_request& request) {
+    switch (judge_start(vm.health, vm.name, request.health)) {
+    case health_verdict::suspect:
+        return placement_obstacle::suspect_vm;
+    case health_verdict::unproven:
+        return placement_obstacle::unproven_vm;
+    case health_verdict::may_start:
+        break;
+    }
+    // A trial is a single task, so a suspect VM takes at most one member of a gang.
+    return request.health.enabled && vm.health.suspect && request.step->gang &&
+                   count_runs_of_step(vm, request.task) > 0
+               ? placement_obstacle::suspect_vm
+               : placement_obstacle::none;
+}
+
 template <typename Cost>
 vm_state* lowest_cost_vm(const placement_request& request, vm_table& vms,
                          const std::set<failure_domain_name>& closed_domains, Cost cost_of) {
@@ -210,9 +234,10 @@
         expected_speed(vm, request) < min_start_speed) {
         return placement_obstacle::too_slow;
     }
-    return step.max_per_vm > 0 && count_runs_of_step(vm, request.task) >= step.max_per_vm
-               ? placement_obstacle::limit_per_vm
-               : placement_obstacle::none;
+    if (step.max_per_vm > 0 && count_runs_of_step(vm, request.task) >= step.max_per_vm) {
+        return placement_obstacle::limit_per_vm;
+    }
+    return health_obstacle(vm, request);
 }
 
 bool may_take(const vm_state& vm, const placement_request& request,
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_entry_process.hpp"
 
 #include "jobs/metered_store.hpp"
+#include "settings/contract_parts.hpp"
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
@@ -133,6 +134,8 @@
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
+    settings.scheduler.track_runner_health =
+        is_part_in_force(settings_.contract_parts, health_part);
     leader_ = std::make_unique<job_leader>(
         loop_, *store_, settings, acquired,
         job_leader::handlers{[this](const vm_name& name, const wire::message& message) {
--- a/packages/daemon/source/jobs/state_page.cpp
+++ b/packages/daemon/source/jobs/state_page.cpp
@@ -78,6 +78,7 @@
         vm->set("serving_millicores", record.serving_millicores);
         vm->set("filling_millicores", record.filling_millicores);
         vm->set("avoided", record.avoided_until > now);
+        vm->set("suspect", record.health.suspect);
         vms->add(vm);
     }
     return vms;
