--- a/packages/core/tests/job/job_scheduler_property_test.cpp
+++ b/packages/core/tests/job/job_scheduler_property_test.cpp
@@ -74,5 +74,30 @@
     }
 }
 
+// Guards against a wait for a proven VM or for a trial that never ends, and against runs that begin
+// twice because of it, under the same faults and with failing runs.
+TEST_CASE("jobs with few attempts reach a final state while runner health is tracked") {
+    scheduler_settings settings;
+    settings.track_runner_health = true;
+    for (std::uint64_t round = 0; round < 20; ++round) {
+        const std::uint64_t seed = test_seed() + 2000 + round;
+        std::mt19937_64 random(seed);
+        cluster_model cluster(seed, {}, settings);
+        for (std::uint64_t number = 0; number < 15; ++number) {
+            job_spec job = two_step_job(number, random);
+            job.policy.max_attempts = static_cast<std::uint32_t>(random() % 4 + 1);
+            job.policy.slack_factor = 2.0;
+            cluster.submit(job);
+            cluster.run(milliseconds(1000), true);
+        }
+        cluster.run(milliseconds(90000), false);
+        for (std::uint64_t number = 0; number < 15; ++number) {
+            INFO("seed " << seed << " job " << number);
+            CHECK(is_final(cluster.state_of("job-" + std::to_string(number)).value()));
+        }
+        expect_no_violations(cluster, seed);
+    }
+}
+
 } // namespace
 } // namespace egretstile::model
