core: failing VMs that report first to a new leader stay known as failing

Cause: when the first reports came mostly from failing VMs, these were trusted because more than half failed, and what their reports said was forgotten.

--- a/packages/core/source/job/runner_health.cpp
+++ b/packages/core/source/job/runner_health.cpp
@@ -289,8 +289,10 @@
             record& suspect = records_[name];
             // Its failures still count, in case the other VMs recover and this one does not.
             const std::deque<past_end> failures = suspect.failures;
+            const bool reported_failing = suspect.reported_failing;
             trust(suspect);
             suspect.failures = failures;
+            suspect.reported_failing = reported_failing;
             changes.push_back({name, false, "most_vms_fail"});
         }
         return changes;
@@ -306,7 +308,6 @@
 
 void runner_health::make_suspect(record& known, boot_time now) const {
     known.suspect = true;
-    known.reported_failing = false;
     known.has_trial = false;
     known.good_trials = 0;
     known.pause = settings_.first_pause;
--- a/packages/core/tests/job/runner_health_test.cpp
+++ b/packages/core/tests/job/runner_health_test.cpp
@@ -285,6 +285,24 @@
     CHECK(vms.health.judge("vm-0", 8, vms.now).empty());
 }
 
+// Guards against a new leader that forgets what the reports of failing VMs said, because these
+// arrived before those of the other VMs.
+TEST_CASE("failing VMs that report first are suspect once others have reported") {
+    tracked_health vms;
+    vms.report("new-1", 0, 12);
+    CHECK(vms.health.judge("new-1", 1, vms.now).empty());
+    CHECK(vms.health.judge("new-1", 2, vms.now).size() == 1);
+    vms.report("new-2", 0, 12);
+    // Two of three ready VMs fail.
+    const std::vector<health_change> changes = vms.health.judge("new-2", 3, vms.now);
+    REQUIRE(changes.size() == 1);
+    CHECK_FALSE(changes[0].suspect);
+    CHECK(vms.health.judge("new-1", 8, vms.now).size() == 1);
+    CHECK(vms.health.judge("new-2", 8, vms.now).size() == 1);
+    CHECK(vms.health.health_of("new-1").suspect);
+    CHECK(vms.health.health_of("new-2").suspect);
+}
+
 // Guards against a VM that takes a whole batch of tasks before its first ends are reported.
 TEST_CASE("an unproven VM gets few runs until some have survived their start") {
     tracked_health vms;
