--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -33,6 +33,8 @@
     std::string rack;
     /// VM on which the task failed last; chosen only when no other can take the task.
     vm_name last_failed_vm;
+    /// What the task requires of the health of its VM.
+    health_demand health;
 };
 
 /// Chooses VMs for tasks. Implementations are not thread-safe.
@@ -99,10 +101,12 @@
     too_slow,      ///< A filling task would be too slow for lack of processor time.
     limit_per_vm,  ///< It already runs the most tasks of the step that one VM may run.
     /// A filling task would be too slow, because serving tasks have too little headroom.
-    little_headroom
+    little_headroom,
+    suspect_vm, ///< Its runner fails its runs, and the task is not its trial.
+    unproven_vm ///< The task needs a VM with a recent successful run and no recent failures.
 };
 
-inline constexpr std::array<enum_name<placement_obstacle>, 11> placement_obstacle_names{
+inline constexpr std::array<enum_name<placement_obstacle>, 13> placement_obstacle_names{
     {{placement_obstacle::none, "none"},
      {placement_obstacle::not_ready, "not_ready"},
      {placement_obstacle::other_service, "other_service"},
@@ -113,7 +117,9 @@
      {placement_obstacle::no_room, "no_room"},
      {placement_obstacle::too_slow, "too_slow"},
      {placement_obstacle::limit_per_vm, "limit_per_vm"},
-     {placement_obstacle::little_headroom, "little_headroom"}}};
+     {placement_obstacle::little_headroom, "little_headroom"},
+     {placement_obstacle::suspect_vm, "suspect_vm"},
+     {placement_obstacle::unproven_vm, "unproven_vm"}}};
 
 /// First reason why the task cannot be placed on the VM, or `none`. Thread-safe.
 placement_obstacle obstacle_of(const vm_state& vm, const placement_request& request,
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -52,12 +52,21 @@
     return static_cast<double>(vm.filling_millicores) / capacity;
 }
 
+bool has_failed_on(const health_demand& demand, const vm_name& vm) {
+    return std::find(demand.failed_vms.begin(), demand.failed_vms.end(), vm) !=
+           demand.failed_vms.end();
+}
+
 double common_cost(const vm_state& vm, const placement_request& request, boot_time now) {
     double cost = 0;
     if (vm.name == request.last_failed_vm) {
         cost += last_failed_vm_penalty;
     }
-    if (vm.avoided_until > now) {
+    if (has_failed_on(request.health, vm.name)) {
+        cost += last_failed_vm_penalty;
+    }
+    const bool avoids_failures = request.health.enabled && !request.health.may_be_trial;
+    if (vm.avoided_until > now || (avoids_failures && vm.health.quick_failures > 0)) {
         cost += avoided_penalty;
     }
     if (!request.step->preferred_rack.empty() && vm.runner.rack != request.step->preferred_rack) {
@@ -106,6 +115,22 @@
     return count;
 }
 
+placement_obstacle health_obstacle(const vm_state& vm, const placement_request& request) {
+    switch (judge_start(vm.health, vm.name, request.health)) {
+    case health_verdict::suspect:
+        return placement_obstacle::suspect_vm;
+    case health_verdict::unproven:
+        return placement_obstacle::unproven_vm;
+    case health_verdict::may_start:
+        break;
+    }
+    // A trial is a single task, so a suspect VM takes at most one member of a gang.
+    return request.health.enabled && vm.health.suspect && request.step->gang &&
+                   count_runs_of_step(vm, request.task) > 0
+               ? placement_obstacle::suspect_vm
+               : placement_obstacle::none;
+}
+
 } // namespace
 
 double fillable_cpu(const vm_state& vm) {
@@ -211,14 +236,17 @@
             return placement_obstacle::little_headroom;
         }
     }
-    return step.max_per_vm > 0 && count_runs_of_step(vm, request.task) >= step.max_per_vm
-               ? placement_obstacle::limit_per_vm
-               : placement_obstacle::none;
+    if (step.max_per_vm > 0 && count_runs_of_step(vm, request.task) >= step.max_per_vm) {
+        return placement_obstacle::limit_per_vm;
+    }
+    return health_obstacle(vm, request);
 }
 
 bool may_take(const vm_state& vm, const placement_request& request,
               const std::set<failure_domain_name>& closed_domains) {
-    return obstacle_of(vm, request, closed_domains) == placement_obstacle::none;
+    // Most VMs are of another service, which is quicker to find out than the other obstacles.
+    return vm.runner.service == request.job->policy.service &&
+           obstacle_of(vm, request, closed_domains) == placement_obstacle::none;
 }
 
 } // namespace egretstile
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -297,9 +297,9 @@
     }
     const std::int64_t silent_ms =
         epoch_ == 1 ? 0
-                    : settings.lapse_margin.count() +
+                    : settings_.lapse_margin.count() +
                           static_cast<std::int64_t>(
-                              static_cast<double>(settings.permission_term.count()) * 1.02);
+                              static_cast<double>(settings_.permission_term.count()) * 1.02);
     for (const auto& [name, current] : agents_) {
         if (epoch_ == 1) {
             next->scheduler->register_vm(name);
--- a/packages/core/tests/job/simulated_vms.hpp
+++ b/packages/core/tests/job/simulated_vms.hpp
@@ -34,9 +34,9 @@
 /// test.
 class simulated_vms {
 public:
-    explicit simulated_vms(std::size_t count, std::size_t vms_of_rack = 2)
-        : simulated_vms(count, vms_of_rack, scheduler_settings(),
-                        std::make_unique<separating_placer>()) {}
+    explicit simulated_vms(std::size_t count, std::size_t vms_of_rack = 2,
+                           const scheduler_settings& settings = {})
+        : simulated_vms(count, vms_of_rack, settings, std::make_unique<separating_placer>()) {}
 
     simulated_vms(std::size_t count, std::size_t vms_of_rack, const scheduler_settings& settings,
                   std::unique_ptr<task_placer> placer)
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -134,8 +134,9 @@
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
-    settings.scheduler.place_by_contention =
-        has_contract_part(settings_.contract_parts, health_part);
+    const bool health = has_contract_part(settings_.contract_parts, health_part);
+    settings.scheduler.track_runner_health = health;
+    settings.scheduler.place_by_contention = health;
     leader_ = std::make_unique<job_leader>(
         loop_, *store_, settings, acquired,
         job_leader::handlers{[this](const vm_name& name, const wire::message& message) {
--- a/testing/bench/benches.hpp
+++ b/testing/bench/benches.hpp
@@ -11,6 +11,9 @@
 /// it accounts for the room of filling tasks.
 void run_job_placement_bench(std::uint64_t seed);
 
+/// Time of one placement of a task of a job with 1,700 VMs, with and without the health of runners.
+void run_runner_health_bench(std::uint64_t seed);
+
 /// Time of one round of the task queue with 23,000 waiting tasks of 60 teams, and time in which the
 /// interference model and controller process one report of a VM.
 void run_queue_bench(std::uint64_t seed);
