core: under contention filling tasks start at full speed, jobs are ordered by progress

Cause: with thousands of cores of filling work waiting, tasks started at 0.6 of their speed or less, all jobs ran at once and nearly all ended late; and a job counted as late although its step was nearly done, because the whole estimate of the step counted until its end. While work waits that can be in time, filling tasks start only at 0.99 of their speed (contended_start_speed), and the remaining run time of a step whose tasks all run is reduced by the progress of the one that is furthest behind.

--- a/packages/core/include/egretstile/core/interference/latency_guard.hpp
+++ b/packages/core/include/egretstile/core/interference/latency_guard.hpp
@@ -26,6 +26,14 @@
     /// room. Serving tasks of several images rarely all have the larger headroom at the same time,
     /// and the latency guard enforces `min_headroom` in any case.
     double contended_placement_headroom{1.6};
+    /// Smallest expected speed at which a filling task is placed, as a share of its full speed;
+    /// below it, the task waits. Jobs at half speed just meet the usual objective of twice their
+    /// critical path.
+    double min_start_speed{0.6};
+    /// Replaces `min_start_speed` while filling tasks that can still be in time wait for room. More
+    /// tasks at a lower speed do no more work, and all of their jobs end late; fewer tasks at full
+    /// speed end some jobs in time. Slightly below full speed, so that rounding does not matter.
+    double contended_start_speed{0.99};
 };
 
 /// Millicores that filling tasks can use on a VM; at least zero. `serving_used_millicores` is the
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -259,6 +259,12 @@
     bool start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     /// Headroom that a filling task of the service has to leave to serving tasks.
     double placement_headroom(const std::string& service) const;
+    /// Whether filling tasks of the service that can still be in time found no room in the last
+    /// pass.
+    bool is_contended(const std::string& service) const;
+    /// Sets the reserve of headroom and the smallest speed for a placement. Precondition: `job` is
+    /// set.
+    void set_room_terms(placement_request& request) const;
     /// Whether a VM that has not reported may still run the task for an earlier leader.
     bool may_have_unreported_run(const job_entry& job, const job_task& task) const;
     /// Whether placing a task of the same image with no greater need has failed in this pass.
@@ -299,8 +305,8 @@
     start_order attributes_of(const job_entry& job, const task_attempt& run) const;
     /// Time that the job has left to meet its objective; negative when it is late.
     milliseconds spare_time(const job_entry& job, std::int64_t wall_ms) const;
-    /// Factor between the run times and the estimates of the filling tasks of the job's queue.
-    double filling_ratio(const job_entry& job) const;
+    /// Learned run times; null when tasks are expected to take as long as estimated.
+    const run_time_model* learned_run_times() const;
     /// Number of further runs of the task that may be started. Precondition: its step is not
     /// long-running.
     std::size_t attempts_left(const job_entry& job, const task_ref& task) const;
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -29,6 +29,8 @@
     /// Headroom that each serving task on the VM must keep when a filling task is placed there.
     /// Serving tasks without a measured headroom keep at least the default.
     double placement_headroom{sharing_model{}.min_placement_headroom};
+    /// Smallest expected speed of a filling task, as a share of its full speed.
+    double min_speed{sharing_model{}.min_start_speed};
     /// Rack whose VMs may be chosen; empty: any.
     std::string rack;
     /// VM on which the task failed last; chosen only when no other can take the task.
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -33,10 +33,26 @@
     return found == job.occurrences.end() ? job.occurrences.back() : *found;
 }
 
-/// Largest sum of expected run times along a chain of dependent steps of the occurrence that are
-/// not done. The expected run time is the estimate, for filling tasks times `filling_ratio`.
+/// Expected run time that is left of a step, in milliseconds. Without `run_times` the estimate of
+/// one task counts until all are done; with it, the estimate times the learned ratio of filling
+/// tasks, less the progress of the task that is furthest behind.
+double remaining_run_time(const job_entry& job, const step_spec& step, const step_state& state,
+                          const run_time_model* run_times) {
+    if (state.done_count == state.tasks.size()) {
+        return 0.0;
+    }
+    if (run_times == nullptr) {
+        return step.estimate_ms;
+    }
+    const double ratio = step.fills_idle_cpu ? run_times->ratio(job.spec.queue) : 1.0;
+    const double left = state.waiting.empty() ? 1.0 - state.least_percent / 100.0 : 1.0;
+    return ratio * left * step.estimate_ms;
+}
+
+/// Largest sum of the run times that are left along a chain of dependent steps of the occurrence.
+/// `run_times` is null when tasks are expected to take as long as estimated.
 milliseconds remaining_critical_path(const job_entry& job, const occurrence_state& occurrence,
-                                     double filling_ratio) {
+                                     const run_time_model* run_times) {
     milliseconds longest(0);
     std::vector<milliseconds> path_lengths(job.spec.steps.size(), milliseconds(0));
     for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
@@ -44,12 +60,9 @@
         for (const std::uint32_t earlier : job.spec.steps[step].after) {
             before = std::max(before, path_lengths[earlier]);
         }
-        const bool done = occurrence.steps[step].done_count == occurrence.steps[step].tasks.size();
-        const double ratio = job.spec.steps[step].fills_idle_cpu ? filling_ratio : 1.0;
         path_lengths[step] =
-            before +
-            milliseconds(
-                done ? 0 : static_cast<std::int64_t>(ratio * job.spec.steps[step].estimate_ms));
+            before + milliseconds(static_cast<std::int64_t>(remaining_run_time(
+                         job, job.spec.steps[step], occurrence.steps[step], run_times)));
         longest = std::max(longest, path_lengths[step]);
     }
     return longest;
@@ -75,13 +88,13 @@
            static_cast<double>(job.policy.target_completion.count());
 }
 
-job_rank rank_of(job_entry& job, std::int64_t wall_ms, double filling_ratio) {
+job_rank rank_of(job_entry& job, std::int64_t wall_ms, const run_time_model* run_times) {
     const double objective = objective_of(job);
     const occurrence_state& occurrence = current_occurrence(job);
     // The objective of a scheduled occurrence counts from its due time, not from the acceptance.
     const std::int64_t ready_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
     const std::int64_t expected_end_ms =
-        wall_ms + remaining_critical_path(job, occurrence, filling_ratio).count();
+        wall_ms + remaining_critical_path(job, occurrence, run_times).count();
     job_rank rank;
     rank.priority = job.policy.priority;
     rank.objective_ms = ready_at_ms + static_cast<std::int64_t>(objective);
@@ -120,8 +133,7 @@
     std::vector<job_rank> ranks;
     ranks.reserve(jobs.size());
     for (job_entry* const job : jobs) {
-        ranks.push_back(
-            rank_of(*job, wall_ms, run_times == nullptr ? 1.0 : run_times->ratio(job->spec.queue)));
+        ranks.push_back(rank_of(*job, wall_ms, run_times));
     }
     std::sort(ranks.begin(), ranks.end());
     return ranks;
@@ -129,15 +141,15 @@
 
 } // namespace
 
-double job_scheduler::filling_ratio(const job_entry& job) const {
-    return settings_.place_by_contention ? run_times_.ratio(job.spec.queue) : 1.0;
+const run_time_model* job_scheduler::learned_run_times() const {
+    return settings_.place_by_contention ? &run_times_ : nullptr;
 }
 
 milliseconds job_scheduler::spare_time(const job_entry& job, std::int64_t wall_ms) const {
     const occurrence_state& occurrence = current_occurrence(job);
     const std::int64_t ready_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
     return milliseconds(ready_at_ms + static_cast<std::int64_t>(objective_of(job)) - wall_ms) -
-           remaining_critical_path(job, occurrence, filling_ratio(job));
+           remaining_critical_path(job, occurrence, learned_run_times());
 }
 
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
@@ -233,8 +245,7 @@
     unplaceable_.clear();
     half_idle_.clear();
     std::set<std::string> contended;
-    const run_time_model* const run_times = settings_.place_by_contention ? &run_times_ : nullptr;
-    for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms, run_times)) {
+    for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms, learned_run_times())) {
         job_entry* const job = rank.job;
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
             const occurrence_state& occurrence = job->occurrences[k];
@@ -258,10 +269,20 @@
     contended_services_ = std::move(contended);
 }
 
+bool job_scheduler::is_contended(const std::string& service) const {
+    return settings_.place_by_contention && contended_services_.count(service) != 0;
+}
+
 double job_scheduler::placement_headroom(const std::string& service) const {
-    return settings_.place_by_contention && contended_services_.count(service) != 0
-               ? sharing_model{}.contended_placement_headroom
-               : sharing_model{}.min_placement_headroom;
+    return is_contended(service) ? sharing_model{}.contended_placement_headroom
+                                 : sharing_model{}.min_placement_headroom;
+}
+
+void job_scheduler::set_room_terms(placement_request& request) const {
+    const std::string& service = request.job->policy.service;
+    request.placement_headroom = placement_headroom(service);
+    request.min_speed = is_contended(service) ? sharing_model{}.contended_start_speed
+                                              : sharing_model{}.min_start_speed;
 }
 
 bool job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
@@ -341,7 +362,7 @@
     request.task = task;
     request.last_failed_vm = state.failed_on;
     request.pressures = &pressures_;
-    request.placement_headroom = placement_headroom(job.policy.service);
+    set_room_terms(request);
     request.health = health_demand_of(job, task, now);
     for (const tracked_run& run : state.runs) {
         request.excluded.insert(run.vm);
--- a/packages/core/source/job/job_scheduler_explanation.cpp
+++ b/packages/core/source/job/job_scheduler_explanation.cpp
@@ -49,7 +49,7 @@
         request.step = &job.spec.steps[step];
         request.task = next;
         request.pressures = &pressures_;
-        request.placement_headroom = placement_headroom(job.policy.service);
+        set_room_terms(request);
         request.health = health_demand_of(job, next, now);
         for (const auto& [name, vm] : vms_) {
             ++result.obstacles[obstacle_of(vm, request, closed_domains_)];
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -65,7 +65,7 @@
         request.task.index = index;
         request.rack = rack;
         request.pressures = &pressures_;
-        request.placement_headroom = placement_headroom(job.policy.service);
+        set_room_terms(request);
         request.health = health_demand_of(job, request.task, now);
         request.last_failed_vm = jobs_.find_task(request.task)->failed_on;
         vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
--- a/packages/core/source/job/job_scheduler_moves.cpp
+++ b/packages/core/source/job/job_scheduler_moves.cpp
@@ -13,6 +13,16 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+std::uint32_t least_percent_of(const std::vector<job_task>& tasks) {
+    std::uint32_t least = 100;
+    for (const job_task& task : tasks) {
+        if (!task.progress.done) {
+            least = task.runs.empty() ? 0 : std::min(least, task.runs.front().percent);
+        }
+    }
+    return least;
+}
+
 } // namespace
 
 void job_scheduler::move_off_draining_vms(boot_time now) {
@@ -45,6 +55,7 @@
                     continue;
                 }
                 const std::vector<job_task>& tasks = job->occurrences[k].steps[s].tasks;
+                job->occurrences[k].steps[s].least_percent = least_percent_of(tasks);
                 for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                     if (tasks[i].runs.size() != 1) {
                         continue;
@@ -100,7 +111,7 @@
     request.step = &job.spec.steps[task.step];
     request.task = task;
     request.pressures = &pressures_;
-    request.placement_headroom = placement_headroom(job.policy.service);
+    set_room_terms(request);
     request.health = health_demand_of(job, task, now);
     request.excluded = {present};
     return placer_->choose(request, vms_, closed_domains_, now);
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -31,9 +31,6 @@
 constexpr double no_serving_penalty = 0.25;
 /// Makes filling tasks prefer, among otherwise equal VMs, the one with more idle processor time.
 constexpr double fullness_penalty = 0.3;
-/// Smallest expected speed at which a filling task is placed; below it, the task waits. Jobs at
-/// half speed just meet the usual objective of twice their critical path.
-constexpr double min_start_speed = 0.6;
 /// Losses of headroom up to this are ignored; the same as in `latency_guard_settings`.
 constexpr double negligible_loss = 0.1;
 /// Weight of the filling tasks on a VM, relative to reserved processor time, in the choice of a VM
@@ -229,10 +226,10 @@
     }
     if (step.fills_idle_cpu && !request.accept_slow &&
         (vm.filling_millicores > 0 || vm.serving_millicores > 0)) {
-        if (speed_by_cpu(vm, request) < min_start_speed) {
+        if (speed_by_cpu(vm, request) < request.min_speed) {
             return placement_obstacle::too_slow;
         }
-        if (speed_by_headroom(vm, request) < min_start_speed) {
+        if (speed_by_headroom(vm, request) < request.min_speed) {
             return placement_obstacle::little_headroom;
         }
     }
