--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -67,8 +67,9 @@
     /// is started when the closed domains were confirmed longer ago.
     milliseconds closure_age_limit{5000};
     /// While filling tasks that can still be in time wait for room, filling tasks are placed with
-    /// the smaller reserve `sharing_model::contended_placement_headroom`; and jobs are ordered by
-    /// the run times that filling tasks have in fact, not by their estimates alone.
+    /// the smaller reserve `sharing_model::contended_placement_headroom` and only at the speed
+    /// `sharing_model::contended_start_speed`; and jobs are ordered by the run times that filling
+    /// tasks have in fact, not by their estimates alone.
     bool place_by_contention{false};
     /// Whether VMs whose runs fail become suspect, instead of being avoided for `avoidance_period`.
     bool track_runner_health{false};
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -60,9 +60,6 @@
 struct step_state {
     std::vector<job_task> tasks;
     std::size_t done_count{0};
-    /// Progress in percent of the task that is furthest behind, among those that are not done, when
-    /// stalled tasks were last searched.
-    std::uint32_t least_percent{0};
     /// Tasks that are neither done nor have a run.
     std::set<std::uint32_t> waiting;
     /// It was reported that a task of the step waits for room.
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -33,20 +33,14 @@
     return found == job.occurrences.end() ? job.occurrences.back() : *found;
 }
 
-/// Expected run time that is left of a step, in milliseconds. Without `run_times` the estimate of
-/// one task counts until all are done; with it, the estimate times the learned ratio of filling
-/// tasks, less the progress of the task that is furthest behind.
+/// Expected run time of one task of the step in milliseconds; zero when all tasks are done.
 double remaining_run_time(const job_entry& job, const step_spec& step, const step_state& state,
                           const run_time_model* run_times) {
     if (state.done_count == state.tasks.size()) {
         return 0.0;
     }
-    if (run_times == nullptr) {
-        return step.estimate_ms;
-    }
-    const double ratio = step.fills_idle_cpu ? run_times->ratio(job.spec.queue) : 1.0;
-    const double left = state.waiting.empty() ? 1.0 - state.least_percent / 100.0 : 1.0;
-    return ratio * left * step.estimate_ms;
+    const bool learned = run_times != nullptr && step.fills_idle_cpu;
+    return (learned ? run_times->ratio(job.spec.queue) : 1.0) * step.estimate_ms;
 }
 
 /// Largest sum of the run times that are left along a chain of dependent steps of the occurrence.
--- a/packages/core/source/job/job_scheduler_moves.cpp
+++ b/packages/core/source/job/job_scheduler_moves.cpp
@@ -13,16 +13,6 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-std::uint32_t least_percent_of(const std::vector<job_task>& tasks) {
-    std::uint32_t least = 100;
-    for (const job_task& task : tasks) {
-        if (!task.progress.done) {
-            least = task.runs.empty() ? 0 : std::min(least, task.runs.front().percent);
-        }
-    }
-    return least;
-}
-
 } // namespace
 
 void job_scheduler::move_off_draining_vms(boot_time now) {
@@ -55,7 +45,6 @@
                     continue;
                 }
                 const std::vector<job_task>& tasks = job->occurrences[k].steps[s].tasks;
-                job->occurrences[k].steps[s].least_percent = least_percent_of(tasks);
                 for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                     if (tasks[i].runs.size() != 1) {
                         continue;
