runtime: bound the memory, connections and times of HTTP clients

A client could hold 4 MiB for each of 2,000 connections, pipeline input without bound while a response was pending, and keep a connection for 90 s without reading its response.

The server now checks sizes when the header is read, skips bodies of requests that a check of the header refuses, reads only a small window ahead while a response is pending or unread, counts its buffers against a share of a memory budget, and ends slow headers, bodies and readers. When connections or memory run short, the ones that can best be spared are closed.

--- a/packages/runtime/source/http/http_message.cpp
+++ b/packages/runtime/source/http/http_message.cpp
@@ -6,12 +6,17 @@
 #include <Poco/String.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <sstream>
 
 namespace egretstile {
 
 namespace {
 
+/// A parsed parameter needs many times the memory of a short one in the request.
+constexpr std::ptrdiff_t max_query_separators = 255;
+
 std::optional<http_head> read_framing(const Poco::Net::HTTPMessage& message, std::size_t bytes) {
     http_head head;
     head.bytes = bytes;
@@ -68,6 +73,9 @@
         const std::size_t question = target.find('?');
         request.path = target.substr(0, question);
         if (question != std::string::npos) {
+            if (std::count(target.begin(), target.end(), '&') > max_query_separators) {
+                return std::nullopt;
+            }
             for (const auto& [name, value] :
                  Poco::URI("http://h/" + target.substr(question)).getQueryParameters()) {
                 request.query[name] = value;
--- a/packages/runtime/source/http/http_server.cpp
+++ b/packages/runtime/source/http/http_server.cpp
@@ -9,7 +9,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
-#include <array>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -18,26 +18,45 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
-constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
-constexpr std::string_view end_of_head = "\r\n\r\n";
-constexpr milliseconds longest_idle_check_interval{5000};
+constexpr milliseconds longest_check_interval{250};
+constexpr milliseconds log_interval{10000};
+/// Time without accepting after the process had no connection or descriptor to spare.
+constexpr milliseconds accept_pause{50};
+/// Bounds one round of the event loop; further connections are accepted in the next one.
+constexpr int max_accepts_per_round = 16;
+constexpr std::size_t min_head_bytes = 1024;
+constexpr std::size_t max_head_bytes = std::size_t{1024} * 1024;
+
+bool is_out_of_descriptors(const Poco::Exception& error) {
+    return error.code() == EMFILE || error.code() == ENFILE || error.code() == ENOBUFS ||
+           error.code() == ENOMEM;
+}
 
 } // namespace
 
 http_server::http_server(event_loop& loop, const endpoint& address, const limits& bounds,
-                         handler function)
+                         handler function, head_check check, refusal_observer observer)
     : loop_(loop)
     , limits_(bounds)
-    , handler_(std::move(function)) {
+    , handler_(std::move(function))
+    , head_check_(std::move(check))
+    , refusal_observer_(std::move(observer))
+    , memory_(bounds.memory == nullptr ? unbounded_ : *bounds.memory) {
     socket_.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    if (limits_.socket_buffer_bytes > 0) {
+        // Accepted sockets inherit the sizes.
+        socket_.setReceiveBufferSize(limits_.socket_buffer_bytes);
+        socket_.setSendBufferSize(limits_.socket_buffer_bytes);
+    }
     socket_.listen(listen_backlog);
     socket_.setBlocking(false);
     loop_.watch(socket_, Poco::Net::PollSet::POLL_READ,
-                [this](int /*mode*/) { accept_connection(); });
-    loop_.call_every(std::min(longest_idle_check_interval, limits_.idle_limit / 2),
+                [this](int /*mode*/) { accept_connections(); });
+    loop_.call_every(std::min(longest_check_interval, limits_.idle_limit / 2),
                      [this, alive = std::weak_ptr<int>(alive_)] {
                          if (!alive.expired()) {
-                             close_idle_connections();
+                             close_overdue_connections();
+                             log_refusals();
                          }
                      });
 }
@@ -50,208 +69,157 @@
     }
 }
 
-void http_server::close_idle_connections() {
-    const boot_time oldest = boot_now() - limits_.idle_limit;
-    std::vector<std::shared_ptr<http_server_connection>> idle;
+void http_server::set_request_bounds(const request_bounds& bounds) {
+    limits_.max_head_bytes = std::clamp(bounds.max_head_bytes, min_head_bytes, max_head_bytes);
+    limits_.header_timeout = bounds.header_timeout;
+    limits_.idle_floor = std::min(bounds.idle_floor, limits_.idle_limit);
+}
+
+std::size_t http_server::active_requests() const {
+    const auto unsent =
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const std::shared_ptr<http_server_connection>& connection) {
+                          return connection->facts().phase == connection_phase::sending;
+                      });
+    return active_requests_ + static_cast<std::size_t>(unsent);
+}
+
+void http_server::close_overdue_connections() {
+    const boot_time now = boot_now();
+    std::vector<std::pair<std::shared_ptr<http_server_connection>, http_refusal>> late;
     for (const std::shared_ptr<http_server_connection>& connection : connections_) {
-        if (connection->is_waiting_since_before(oldest)) {
-            idle.push_back(connection);
+        connection->measure_unread_input();
+        if (const std::optional<http_refusal> reason =
+                overdue(connection->facts(), connection->time_limits(), is_short(), now)) {
+            late.emplace_back(connection, *reason);
         }
     }
-    for (const std::shared_ptr<http_server_connection>& connection : idle) {
-        connection->close();
-    }
-    if (!idle.empty()) {
-        write_log(log_part::net, log_level::info, "Closed idle connections.",
-                  "connections=" + std::to_string(idle.size()) +
-                      " idle_limit_ms=" + std::to_string(limits_.idle_limit.count()));
+    for (const auto& [connection, reason] : late) {
+        connection->end(reason);
     }
 }
 
-void http_server::accept_connection() {
-    try {
-        Poco::Net::StreamSocket accepted = socket_.acceptConnection();
-        if (connections_.size() >= limits_.max_connections) {
-            accepted.close();
-            return;
-        }
-        accepted.setBlocking(false);
-        accepted.setNoDelay(true);
-        enable_keep_alive(accepted);
-        const std::shared_ptr<http_server_connection> connection =
-            std::make_shared<http_server_connection>(*this, accepted);
-        connections_.insert(connection);
-        connection->start();
-    } catch (const Poco::Exception&) {
-        // The client closed the connection before it was accepted, or the process has no free file
-        // descriptor. In the second case the connection stays queued and the next poll retries.
-    }
+bool http_server::is_short() const {
+    return memory_.is_short() || connections_.size() > limits_.max_connections / 4 * 3;
 }
 
-http_server_connection::http_server_connection(http_server& server,
-                                               const Poco::Net::StreamSocket& socket)
-    : server_(server)
-    , socket_(socket)
-    , waiting_since_(boot_now()) {}
-
-void http_server_connection::start() {
-    const std::weak_ptr<http_server_connection> self = weak_from_this();
-    server_.loop_.watch(socket_, Poco::Net::PollSet::POLL_READ, [self](int mode) {
-        if (const std::shared_ptr<http_server_connection> connection = self.lock()) {
-            connection->handle_ready(mode);
+bool http_server::free_connection() {
+    const boot_time now = boot_now();
+    std::shared_ptr<http_server_connection> chosen;
+    double highest{0};
+    for (const std::shared_ptr<http_server_connection>& connection : connections_) {
+        const std::optional<double> rank =
+            connection_rank(connection->facts(), connection->time_limits(), now);
+        if (rank && (chosen == nullptr || *rank > highest)) {
+            chosen = connection;
+            highest = *rank;
         }
-    });
+    }
+    if (chosen == nullptr) {
+        return false;
+    }
+    count_refusal(http_refusal::no_connection);
+    chosen->close();
+    return true;
 }
 
-void http_server_connection::close() {
-    if (std::exchange(closed_, true)) {
-        return;
+bool http_server::reserve_memory(std::size_t bytes, const http_server_connection& requester) {
+    const boot_time now = boot_now();
+    while (!memory_.can_hold(bytes)) {
+        std::shared_ptr<http_server_connection> chosen;
+        double highest{0};
+        for (const std::shared_ptr<http_server_connection>& connection : connections_) {
+            const std::optional<double> rank = memory_rank(connection->facts(), now);
+            if (rank && (chosen == nullptr || *rank > highest)) {
+                chosen = connection;
+                highest = *rank;
+            }
+        }
+        if (chosen == nullptr || chosen.get() == &requester) {
+            return false;
+        }
+        chosen->end(http_refusal::no_memory);
     }
-    server_.loop_.unwatch(socket_);
-    socket_.close();
-    server_.connections_.erase(shared_from_this());
+    return true;
 }
 
-void http_server_connection::handle_ready(int mode) {
-    if (!closed_ && (mode & Poco::Net::PollSet::POLL_WRITE) != 0) {
-        write_pending();
-    }
-    if (!closed_ &&
-        (mode & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) != 0) {
-        read_available();
+void http_server::accept_connections() {
+    for (int accepted = 0; accepted < max_accepts_per_round && accepting_; ++accepted) {
+        if (!accept_connection()) {
+            return;
+        }
     }
 }
 
-void http_server_connection::read_available() {
-    std::array<char, read_chunk_bytes> chunk; // NOLINT(cppcoreguidelines-pro-type-member-init)
-    int received = 0;
-    try {
-        received = socket_.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
-    } catch (const Poco::TimeoutException&) {
-        return;
-    } catch (const Poco::Exception&) {
-        close();
-        return;
-    }
-    if (received == 0) {
-        close();
-        return;
+bool http_server::accept_connection() {
+    if (connections_.size() >= limits_.max_connections && !free_connection()) {
+        count_refusal(http_refusal::no_connection);
+        pause_accepting();
+        return false;
     }
-    if (received > 0) {
-        input_.append(chunk.data(), static_cast<std::size_t>(received));
-        process_input();
+    try {
+        Poco::Net::StreamSocket accepted = socket_.acceptConnection();
+        accepted.setBlocking(false);
+        accepted.setNoDelay(true);
+        enable_keep_alive(accepted);
+        const std::shared_ptr<http_server_connection> connection =
+            std::make_shared<http_server_connection>(*this, accepted);
+        connections_.insert(connection);
+        connection->start();
+        return true;
+    } catch (const Poco::Exception& error) {
+        if (is_out_of_descriptors(error)) {
+            count_refusal(http_refusal::no_descriptor);
+            free_connection();
+            pause_accepting();
+        }
+        // Otherwise nothing waits any more, or the client closed its connection before it was
+        // accepted.
+        return false;
     }
 }
 
-void http_server_connection::process_input() {
-    if (awaiting_response_ || closed_ || close_when_sent_) {
+void http_server::pause_accepting() {
+    if (!std::exchange(accepting_, false)) {
         return;
     }
-    const std::size_t end = input_.find(end_of_head);
-    if (end == std::string::npos) {
-        if (input_.size() > server_.limits_.max_head_bytes) {
-            reject(431);
+    loop_.unwatch(socket_);
+    loop_.call_at(boot_now() + accept_pause, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            accepting_ = true;
+            loop_.watch(socket_, Poco::Net::PollSet::POLL_READ,
+                        [this](int /*mode*/) { accept_connections(); });
         }
-        return;
-    }
-    http_request request;
-    const std::optional<http_head> head =
-        parse_request_head(std::string_view(input_).substr(0, end + end_of_head.size()), request);
-    if (!head || head->bytes > server_.limits_.max_head_bytes) {
-        reject(head ? 431 : 400);
-        return;
-    }
-    if (head->chunked || head->content_length > server_.limits_.max_body_bytes) {
-        reject(head->chunked ? 411 : 413);
-        return;
-    }
-    if (input_.size() < head->bytes + head->content_length) {
-        return;
-    }
-    request.body = input_.substr(head->bytes, head->content_length);
-    input_.erase(0, head->bytes + head->content_length);
-    dispatch(std::move(request), head->keep_alive);
-}
-
-void http_server_connection::reject(int status) {
-    http_response response;
-    response.status = status;
-    // The boundary to a following request in the input is unknown, so the input is discarded.
-    input_.clear();
-    output_ += format_response(response, false);
-    close_when_sent_ = true;
-    write_pending();
-}
-
-void http_server_connection::dispatch(http_request&& request, bool keep_alive) {
-    awaiting_response_ = true;
-    ++server_.active_requests_;
-    const std::weak_ptr<http_server_connection> self = weak_from_this();
-    http_server* const server = &server_;
-    const std::shared_ptr<bool> responded = std::make_shared<bool>(false);
-    server_.handler_(
-        std::move(request), [self, server, responded, keep_alive](http_response&& response) {
-            if (std::exchange(*responded, true)) {
-                return;
-            }
-            --server->active_requests_;
-            if (const std::shared_ptr<http_server_connection> connection = self.lock()) {
-                connection->send_response(std::move(response), keep_alive);
-            }
-        });
+    });
 }
 
-void http_server_connection::send_response(http_response&& response, bool keep_alive) {
-    awaiting_response_ = false;
-    waiting_since_ = boot_now();
-    if (closed_) {
-        return;
-    }
-    const bool keep_open = keep_alive && !server_.stopping_;
-    output_ += format_response(response, keep_open);
-    close_when_sent_ = !keep_open;
-    write_pending();
-    if (!closed_) {
-        process_input();
+void http_server::count_refusal(http_refusal reason) {
+    ++unlogged_refusals_.at(static_cast<std::size_t>(reason));
+    if (refusal_observer_) {
+        refusal_observer_(reason);
     }
 }
 
-void http_server_connection::write_pending() {
-    while (sent_ < output_.size()) {
-        int written = 0;
-        try {
-            const std::string_view rest = std::string_view(output_).substr(sent_);
-            written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
-        } catch (const Poco::TimeoutException&) {
-            written = 0;
-        } catch (const Poco::Exception&) {
-            close();
-            return;
-        }
-        if (written <= 0) {
-            break;
-        }
-        sent_ += static_cast<std::size_t>(written);
+void http_server::log_refusals() {
+    const boot_time now = boot_now();
+    if (now < logged_at_ + log_interval) {
+        return;
     }
-    if (sent_ == output_.size()) {
-        output_.clear();
-        sent_ = 0;
-        if (close_when_sent_) {
-            close();
-            return;
+    std::string counts;
+    for (const enum_name<http_refusal>& row : http_refusal_names) {
+        const std::uint64_t count =
+            std::exchange(unlogged_refusals_.at(static_cast<std::size_t>(row.value)), 0);
+        if (count > 0) {
+            counts += ' ' + std::string(row.name) + '=' + std::to_string(count);
         }
     }
-    update_mode();
-}
-
-void http_server_connection::update_mode() {
-    const bool wants_write = !output_.empty();
-    if (wants_write == wants_write_) {
-        return;
+    if (!counts.empty()) {
+        logged_at_ = now;
+        write_log(log_part::net, log_level::info, "Refused requests or closed connections.",
+                  "address=" + limits_.name + counts +
+                      " connections=" + std::to_string(connections_.size()) +
+                      " buffer_bytes=" + std::to_string(memory_.used()));
     }
-    wants_write_ = wants_write;
-    const int read = Poco::Net::PollSet::POLL_READ;
-    server_.loop_.change_mode(socket_, wants_write ? read | Poco::Net::PollSet::POLL_WRITE : read);
 }
 
 } // namespace egretstile
