--- a/packages/core/include/egretstile/core/job/operator_config.hpp
+++ b/packages/core/include/egretstile/core/job/operator_config.hpp
@@ -37,8 +37,14 @@
     bool runners_enforce_capacity{false};
 };
 
+/// Limits for callers' requests and connections.
 struct request_limits {
     std::size_t max_body_bytes{262144};
+    std::size_t max_header_bytes{16384};
+    /// Time for a header from its first byte on.
+    milliseconds header_timeout{3000};
+    /// Connections that were idle for less are not closed, also when connections run short.
+    milliseconds idle_timeout{15000};
 };
 
 /// One complete version of the operators' configuration.
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -31,8 +31,6 @@
 constexpr milliseconds pending_action_interval{30};
 /// A claim about the runner that is not decided yet is checked again after this time.
 constexpr milliseconds claim_check_interval{100};
-/// A runner's heartbeat has less than a kilobyte; parsing takes many times the memory of the body.
-constexpr std::size_t max_heartbeat_bytes = std::size_t{64} * 1024;
 /// Interval at which the control keys are read again while the agent is not connected to a leader.
 constexpr milliseconds control_refresh_interval{400};
 
@@ -47,6 +45,7 @@
                                      const bounded_output& log_output)
     : settings_(std::move(settings))
     , log_output_(log_output)
+    , http_limits_(metrics_.registry(), settings_.common.memory_mb, settings_.common.max_fds)
     , platform_(platform)
     , store_(std::make_unique<metered_store>(platform_.make_store(loop_, settings_.common.store),
                                              metrics_.registry()))
@@ -63,17 +62,20 @@
              }})
     , control_(loop_, *store_, control_watch_wait,
                [this] { link_.follow(control_.leader(), control_.peer_key()); })
-    , registration_server_(loop_, settings_.registration, {.max_body_bytes = max_heartbeat_bytes},
-                           [this](http_request&& request, const http_server::responder& respond) {
-                               handle_registration_request(request, respond);
-                           })
+    , registration_server_(
+          loop_, settings_.registration, http_limits_.limits_for(http_address::registration),
+          [this](http_request&& request, const http_server::responder& respond) {
+              handle_registration_request(request, respond);
+          },
+          {}, http_limits_.observer_for(http_address::registration))
     , operations_server_(
-          serve_operations(loop_, settings_.common,
+          serve_operations(loop_, settings_.common, http_limits_,
                            [this](const std::string& path) -> std::optional<operations_page> {
                                if (path != metrics_path) {
                                    return std::nullopt;
                                }
                                metrics_.set_state(current_state());
+                               http_limits_.update_gauges();
                                return operations_page{200, metrics_.registry().text()};
                            })) {}
 
--- a/packages/daemon/source/jobs/job_agent_process.hpp
+++ b/packages/daemon/source/jobs/job_agent_process.hpp
@@ -4,6 +4,7 @@
 #include "jobs/job_agent_metrics.hpp"
 #include "jobs/leader_link.hpp"
 #include "jobs/registered_runner.hpp"
+#include "net/http_limits.hpp"
 #include "settings/job_settings.hpp"
 
 #include <egretstile/core/interference/latency_guard.hpp>
@@ -88,6 +89,7 @@
     job_agent_settings settings_;
     const bounded_output& log_output_;
     job_agent_metrics metrics_;
+    http_limits http_limits_;
     event_loop loop_;
     const platform_access& platform_;
     std::unique_ptr<infrastructure::coordination_store> store_;
--- a/packages/daemon/source/jobs/job_api.cpp
+++ b/packages/daemon/source/jobs/job_api.cpp
@@ -62,13 +62,14 @@
 constexpr std::size_t max_logged_text_bytes = 100;
 
 void log_unknown_queue(const http_request& request, std::uint64_t config_version,
-                       boot_clock::duration config_age) {
+                       boot_clock::duration config_age, std::uint64_t left_out) {
     write_log(log_part::config, log_level::info, "Refused a call: no queue accepts it.",
               "method=" + request.method.substr(0, max_logged_text_bytes) + " host=\"" +
                   host_of(request).substr(0, max_logged_text_bytes) + "\" path=\"" +
                   request.path.substr(0, max_logged_text_bytes) +
                   "\" config=" + std::to_string(config_version) + " config_age_ms=" +
-                  std::to_string(std::chrono::duration_cast<milliseconds>(config_age).count()));
+                  std::to_string(std::chrono::duration_cast<milliseconds>(config_age).count()) +
+                  " left_out=" + std::to_string(left_out));
 }
 
 void log_request(const std::string& sentence, const job_id& id, const std::string& fields) {
@@ -96,6 +97,37 @@
     };
 }
 
+std::optional<http_response> job_api::check_head(const http_request& head, std::size_t body_bytes) {
+    const boot_time received_at = boot_now();
+    std::optional<http_response> refusal;
+    if (!operators_.config()) {
+        refusal = unconfirmed_config_response("no configuration yet");
+    } else if (body_bytes > operators_.config()->limits.max_body_bytes) {
+        refusal = response_of(413, "{\"error\":\"the body is too large\"}");
+    } else {
+        refusal = check_queue(head, find_queue(*operators_.config(), host_of(head), head.path));
+    }
+    if (refusal) {
+        metrics_.count_call(call_of(head), refusal->status, boot_now() - received_at);
+    }
+    return refusal;
+}
+
+std::optional<http_response> job_api::check_queue(const http_request& request,
+                                                  const queue_policy* queue) const {
+    if (queue != nullptr) {
+        return std::nullopt;
+    }
+    if (const std::optional<std::uint64_t> left_out = unknown_queue_log_.admit(boot_now())) {
+        log_unknown_queue(request, operators_.config()->version,
+                          boot_now() - operators_.confirmed_at().value_or(boot_time()), *left_out);
+    }
+    // A queue that was added meanwhile would be refused for good.
+    return operators_.is_current(boot_now())
+               ? response_of(404, "{\"error\":\"no such queue\"}")
+               : unconfirmed_config_response("the configuration is not confirmed");
+}
+
 void job_api::handle(http_request&& request, http_server::responder responder) {
     const job_call call = call_of(request);
     route(request, deadline_of(request), with_metrics(call, std::move(responder)));
@@ -109,22 +141,13 @@
     }
     const queue_policy* const queue =
         find_queue(*operators_.config(), host_of(request), request.path);
-    const bool is_current = operators_.is_current(boot_now());
-    if (queue == nullptr) {
-        log_unknown_queue(request, operators_.config()->version,
-                          boot_now() - operators_.confirmed_at().value_or(boot_time()));
-        // A queue that was added meanwhile would be refused for good.
-        respond(is_current ? response_of(404, "{\"error\":\"no such queue\"}")
-                           : unconfirmed_config_response("the configuration is not confirmed"));
-        return;
-    }
-    if (request.body.size() > operators_.config()->limits.max_body_bytes) {
-        respond(response_of(413, "{\"error\":\"the body is too large\"}"));
+    if (std::optional<http_response> refusal = check_queue(request, queue)) {
+        respond(std::move(*refusal));
         return;
     }
     const std::string id = request.path.substr(queue->path_prefix.size());
     if (id.empty() && request.method == "GET") {
-        if (is_current) {
+        if (operators_.is_current(boot_now())) {
             show_pending(*queue, respond);
         } else {
             respond(unconfirmed_config_response("the configuration is not confirmed"));
@@ -146,7 +169,11 @@
                      boot_time deadline, http_server::responder respond) {
     std::variant<job_spec, malformed_job> decoded = protocol_.decode_job(request.body);
     if (const malformed_job* const malformed = std::get_if<malformed_job>(&decoded)) {
-        log_request("Refused a malformed job.", id, "reason=\"" + malformed->reason + "\"");
+        if (const std::optional<std::uint64_t> left_out = malformed_job_log_.admit(boot_now())) {
+            log_request("Refused a malformed job.", id,
+                        "reason=\"" + malformed->reason +
+                            "\" left_out=" + std::to_string(*left_out));
+        }
         respond(response_of(400));
         return;
     }
--- a/packages/daemon/source/jobs/job_api.hpp
+++ b/packages/daemon/source/jobs/job_api.hpp
@@ -6,8 +6,11 @@
 
 #include <egretstile/infrastructure/caller/caller_protocol.hpp>
 #include <egretstile/runtime/http/http_server.hpp>
+#include <egretstile/runtime/telemetry/log_limiter.hpp>
 
+#include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace egretstile::daemon {
@@ -37,6 +40,10 @@
     job_api& operator=(job_api&&) = delete;
     ~job_api() = default;
 
+    /// Refusal of a request with a body of `body_bytes`, which has only been read up to the end of
+    /// its header; nothing when the request may be handled.
+    std::optional<http_response> check_head(const http_request& head, std::size_t body_bytes);
+
     /// Answers a request; calls `respond` once, possibly later.
     void handle(http_request&& request, http_server::responder respond);
 
@@ -58,6 +65,9 @@
         http_server::responder respond;
     };
 
+    /// Refusal of a request that no queue accepts; nothing when `queue` is one.
+    std::optional<http_response> check_queue(const http_request& request,
+                                             const queue_policy* queue) const;
     /// Wraps `respond` so that the call is counted and timed when it is answered.
     http_server::responder with_metrics(job_call call, http_server::responder respond);
     void try_store_directly(const std::shared_ptr<pending_write>& call, milliseconds timeout);
@@ -99,6 +109,9 @@
     boot_time prefer_leader_until_{};
     /// Varies the `Retry-After` header, so that refused callers do not all retry at the same time.
     std::uint32_t refusals_{0};
+    /// For lines about requests that no queue accepts, and about malformed jobs.
+    mutable log_limiter unknown_queue_log_;
+    log_limiter malformed_job_log_;
 };
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -38,6 +38,7 @@
     : settings_(std::move(settings))
     , platform_(platform)
     , log_output_(log_output)
+    , http_limits_(metrics_.registry(), settings_.common.memory_mb, settings_.common.max_fds)
     , store_(std::make_unique<metered_store>(platform_.make_store(loop_, settings_.common.store),
                                              metrics_.registry()))
     , link_(loop_, own_hello(), leader_silence_limit,
@@ -58,16 +59,24 @@
                      }
                  }})
     , job_api_(loop_, *store_, platform_.callers(), operators_, leader_access_, metrics_, {})
-    , caller_server_(loop_, settings_.callers, {},
-                     [this](http_request&& request, http_server::responder respond) {
-                         job_api_.handle(std::move(request), std::move(respond));
-                     })
-    , readiness_server_(loop_, settings_.readiness, {},
-                        [this](http_request&& request, const http_server::responder& respond) {
-                            answer_readiness(request, respond);
-                        })
-    , operations_server_(serve_operations(
-          loop_, settings_.common, [this](const std::string& path) { return find_page(path); })) {}
+    , caller_server_(
+          loop_, settings_.callers, http_limits_.limits_for(http_address::callers),
+          [this](http_request&& request, http_server::responder respond) {
+              job_api_.handle(std::move(request), std::move(respond));
+          },
+          [this](const http_request& head, std::size_t body_bytes) {
+              return job_api_.check_head(head, body_bytes);
+          },
+          http_limits_.observer_for(http_address::callers))
+    , readiness_server_(
+          loop_, settings_.readiness, http_limits_.limits_for(http_address::readiness),
+          [this](http_request&& request, const http_server::responder& respond) {
+              answer_readiness(request, respond);
+          },
+          {}, http_limits_.observer_for(http_address::readiness))
+    , operations_server_(
+          serve_operations(loop_, settings_.common, http_limits_,
+                           [this](const std::string& path) { return find_page(path); })) {}
 
 void job_entry_process::run() {
     operators_.start();
@@ -114,15 +123,26 @@
             [this](frame_connection& connection, const wire::hello& hello) {
                 handle_peer_opened(connection, hello);
             },
-            [this](frame_connection& connection) { handle_peer_closed(connection); }});
+            [this](frame_connection& connection) { handle_peer_closed(connection); }},
+        http_limits_.max_handshakes());
 }
 
 void job_entry_process::handle_operator_change() {
+    apply_request_limits();
     if (leader_ != nullptr && operators_.config()) {
         leader_->set_operator_state(*operators_.config(), operators_.closed().names());
     }
 }
 
+void job_entry_process::apply_request_limits() {
+    if (!operators_.config()) {
+        return;
+    }
+    const request_limits& limits = operators_.config()->limits;
+    caller_server_.set_request_bounds(
+        {limits.max_header_bytes, limits.header_timeout, limits.idle_timeout});
+}
+
 void job_entry_process::handle_closed_domains_confirmed() {
     const std::optional<boot_time> confirmed_at = operators_.closed().confirmed_at();
     if (leader_ != nullptr && confirmed_at) {
@@ -261,6 +281,7 @@
         state.longest_round_seconds =
             std::chrono::duration<double>(loop_.take_longest_round()).count();
         metrics_.set_state(state);
+        http_limits_.update_gauges();
         return operations_page{200, metrics_.registry().text()};
     }
     if (path == state_path) {
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -10,6 +10,7 @@
 #include "jobs/operator_view.hpp"
 #include "jobs/state_page.hpp"
 #include "net/frame_server.hpp"
+#include "net/http_limits.hpp"
 #include "net/operations_server.hpp"
 #include "settings/job_settings.hpp"
 
@@ -50,6 +51,8 @@
 private:
     void handle_control_change();
     void handle_operator_change();
+    /// Applies the operators' limits to the callers' address.
+    void apply_request_limits();
     void handle_closed_domains_confirmed();
     void start_peer_server();
     void start_leading(const leadership& acquired);
@@ -79,6 +82,7 @@
     const platform_access& platform_;
     const bounded_output& log_output_;
     job_entry_metrics metrics_;
+    http_limits http_limits_;
     event_loop loop_;
     std::unique_ptr<infrastructure::coordination_store> store_;
     /// Newest connection of each VM's agent.
--- a/packages/daemon/source/net/frame_connection.cpp
+++ b/packages/daemon/source/net/frame_connection.cpp
@@ -18,6 +18,8 @@
 /// `send` fails while more than this is queued for a peer that does not read; keeps memory bounded.
 constexpr std::size_t max_queued_bytes = 16 * 1024 * 1024;
 constexpr std::size_t read_chunk_bytes = 64 * 1024;
+/// A nonce and a `hello` are shorter; bounds the memory for peers without the deployment's key.
+constexpr std::size_t max_handshake_bytes = 4 * 1024;
 
 wire::nonce make_nonce() {
     wire::nonce value{};
@@ -111,6 +113,11 @@
         }
     }
     process_messages();
+    if (!closed_ && !peer_ && bytes_received_ > max_handshake_bytes) {
+        write_log(log_part::net, log_level::warning,
+                  "Closed a connection: its handshake is too long.", "");
+        fail();
+    }
 }
 
 bool frame_connection::process_nonce() {
--- a/packages/daemon/source/net/frame_connection.hpp
+++ b/packages/daemon/source/net/frame_connection.hpp
@@ -44,6 +44,8 @@
 
     bool is_open() const { return peer_.has_value() && !closed_; }
 
+    bool is_closed() const { return closed_; }
+
     /// The peer's `hello`. Precondition: `is_open` has been true.
     const wire::hello& peer() const { return *peer_; }
 
--- a/packages/daemon/source/net/frame_server.cpp
+++ b/packages/daemon/source/net/frame_server.cpp
@@ -2,6 +2,7 @@
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/net/keep_alive.hpp>
+#include <egretstile/runtime/telemetry/log.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -18,15 +19,18 @@
 
 /// A connection whose peer does not complete the handshake within this time is closed.
 constexpr milliseconds handshake_timeout{2000};
+constexpr milliseconds accept_pause{50};
 
 } // namespace
 
 frame_server::frame_server(event_loop& loop, const endpoint& address, std::string deployment_key,
-                           wire::hello own_hello, frame_connection::handlers callbacks)
+                           wire::hello own_hello, frame_connection::handlers callbacks,
+                           std::size_t max_handshakes)
     : loop_(loop)
     , deployment_key_(std::move(deployment_key))
     , own_hello_(std::move(own_hello))
-    , handlers_(std::move(callbacks)) {
+    , handlers_(std::move(callbacks))
+    , max_handshakes_(max_handshakes) {
     socket_.bind(Poco::Net::SocketAddress(address.host, address.port), true);
     socket_.listen(accept_backlog);
     socket_.setBlocking(false);
@@ -85,9 +89,46 @@
             connections_.insert(connection);
             connection->start();
             schedule_handshake_timeout(connection);
+            handshakes_.push_back(connection);
+            limit_handshakes();
+        }
+    } catch (const Poco::Exception& error) {
+        // The peer closed the connection before it was accepted, or no descriptor is free. In the
+        // second case the socket stays ready, so the next attempt waits.
+        if (const std::optional<std::uint64_t> left_out = accept_log_.admit(boot_now())) {
+            write_log(log_part::net, log_level::warning, "Cannot accept a peer's connection.",
+                      "reason=\"" + error.displayText() +
+                          "\" left_out=" + std::to_string(*left_out));
+        }
+        pause_accepting();
+    }
+}
+
+void frame_server::pause_accepting() {
+    loop_.unwatch(socket_);
+    loop_.call_at(boot_now() + accept_pause, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            loop_.watch(socket_, Poco::Net::PollSet::POLL_READ,
+                        [this](int /*mode*/) { accept_pending(); });
+        }
+    });
+}
+
+void frame_server::limit_handshakes() {
+    if (handshakes_.size() <= max_handshakes_) {
+        return;
+    }
+    std::erase_if(handshakes_, [](const std::weak_ptr<frame_connection>& pending) {
+        const std::shared_ptr<frame_connection> connection = pending.lock();
+        return connection == nullptr || connection->is_open() || connection->is_closed();
+    });
+    while (handshakes_.size() > max_handshakes_) {
+        const std::shared_ptr<frame_connection> oldest = handshakes_.front().lock();
+        handshakes_.pop_front();
+        if (oldest != nullptr) {
+            oldest->close();
+            remove(oldest);
         }
-    } catch (const Poco::Exception&) {
-        // The peer closed the connection before it was accepted; the next poll accepts the others.
     }
 }
 
--- a/packages/daemon/source/net/operations_server.cpp
+++ b/packages/daemon/source/net/operations_server.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Enough for the scrapers and operators of one process, which keep one connection each.
-constexpr std::size_t max_operations_connections = 8;
-
 http_response respond_to(const http_request& request, const operations_pages& pages) {
     const operations_page missing{404, "{\"error\":\"not found\"}"};
     const operations_page page =
@@ -28,19 +25,19 @@
 } // namespace
 
 std::unique_ptr<http_server> serve_operations(event_loop& loop, const job_common_settings& settings,
-                                              operations_pages pages) {
+                                              http_limits& limits, operations_pages pages) {
     if (settings.metrics_port == 0) {
         return nullptr;
     }
-    http_server::limits limits;
-    limits.max_connections = max_operations_connections;
     try {
         return std::make_unique<http_server>(
-            loop, endpoint{settings.host, settings.metrics_port}, limits,
+            loop, endpoint{settings.host, settings.metrics_port},
+            limits.limits_for(http_address::operations),
             [pages = std::move(pages)](http_request&& request,
                                        const http_server::responder& respond) {
                 respond(respond_to(request, pages));
-            });
+            },
+            http_server::head_check{}, limits.observer_for(http_address::operations));
     } catch (const Poco::Exception& error) {
         write_log(log_part::process, log_level::warning,
                   "Cannot bind the metrics port; metrics are not served.",
--- a/packages/daemon/source/net/operations_server.hpp
+++ b/packages/daemon/source/net/operations_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/http_limits.hpp"
 #include "settings/job_settings.hpp"
 
 #include <egretstile/runtime/http/http_server.hpp>
@@ -27,6 +28,6 @@
 /// settings name no port, or when it cannot be bound: that is only logged, because a process works
 /// without these pages. For the event loop's thread only.
 std::unique_ptr<http_server> serve_operations(event_loop& loop, const job_common_settings& settings,
-                                              operations_pages pages);
+                                              http_limits& limits, operations_pages pages);
 
 } // namespace egretstile::daemon
--- a/packages/daemon/tests/jobs/job_api_test.cpp
+++ b/packages/daemon/tests/jobs/job_api_test.cpp
@@ -87,7 +87,8 @@
         loop.run();
     }
 
-    /// Status of the response to a call, or zero without one.
+    /// Status of the response to a call, or zero without one. As the server does, checks the header
+    /// of a request with a body first.
     int status_of(const std::string& method, const std::string& path,
                   const std::string& body = "") {
         http_request request;
@@ -96,6 +97,12 @@
         request.path = path;
         request.headers["host"] = "example";
         std::optional<http_response> response;
+        if (!body.empty()) {
+            response = api.check_head(request, body.size());
+        }
+        if (response) {
+            return response->status;
+        }
         api.handle(std::move(request),
                    [&response](http_response&& answer) { response = std::move(answer); });
         run_until([&response] { return response.has_value(); });
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -74,7 +74,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, request_limits& value) {
-    archive(value.max_body_bytes);
+    archive(value.max_body_bytes, value.max_header_bytes, value.header_timeout, value.idle_timeout);
 }
 
 template <typename Archive>
