--- a/packages/daemon/tests/telemetry/metrics_page_test.cpp
+++ b/packages/daemon/tests/telemetry/metrics_page_test.cpp
@@ -2,6 +2,7 @@
 #include "jobs/job_agent_metrics.hpp"
 #include "jobs/job_entry_metrics.hpp"
 #include "jobs/metered_store.hpp"
+#include "net/http_limits.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -63,12 +64,16 @@
 TEST_CASE("docs/metrics.md lists exactly the metrics that a job entry serves") {
     job_entry_metrics served;
     const metered_store store(nullptr, served.registry());
+    http_limits limits(served.registry(), 0, 0);
+    limits.observer_for(http_address::callers);
     check_section("Job entry", served.registry().text());
 }
 
 TEST_CASE("docs/metrics.md lists exactly the metrics that a job agent serves") {
     job_agent_metrics served;
     const metered_store store(nullptr, served.registry());
+    http_limits limits(served.registry(), 0, 0);
+    limits.observer_for(http_address::callers);
     check_section("Job agent", served.registry().text());
 }
 
--- a/packages/runtime/source/http/http_server_output.cpp
+++ b/packages/runtime/source/http/http_server_output.cpp
@@ -65,7 +65,8 @@
         update_memory();
         return;
     }
-    const bool keep_open = keep_alive && !server_.stopping_;
+    // Requests that have been read are answered also while the server stops.
+    const bool keep_open = keep_alive && (!server_.stopping_ || !input_.empty());
     output_ += format_response(response, keep_open);
     close_when_sent_ = !keep_open;
     update_memory();
--- a/packages/runtime/source/http/memory_budget.cpp
+++ b/packages/runtime/source/http/memory_budget.cpp
@@ -20,9 +20,10 @@
 
 /// By `http_address`. The rest of the memory is for the process itself, for the socket buffers of
 /// the kernel and for freed memory that the allocator keeps. The rest of the descriptors is for
-/// agents, other entries and the store. A heartbeat of 4 MiB must fit the share of registrations.
+/// agents, other entries and the store. The least shares hold the largest
+/// request of an address: a body of a caller with its copies, or a heartbeat of 4 MiB.
 constexpr std::array<address_share, http_address_names.size()> address_shares{
-    {{4, bytes_per_mb, 4, 2000},
+    {{4, 4 * bytes_per_mb, 4, 2000},
      {32, bytes_per_mb / 2, 32, 128},
      {16, bytes_per_mb, 64, 8},
      {8, 6 * bytes_per_mb, 32, 64}}};
