--- a/packages/daemon/source/net/http_limits.hpp
+++ b/packages/daemon/source/net/http_limits.hpp
@@ -6,6 +6,8 @@
 #include <egretstile/runtime/http/memory_budget.hpp>
 
 #include <array>
+#include <cstddef>
+#include <cstdint>
 
 namespace egretstile::daemon {
 
@@ -15,6 +17,11 @@
 public:
     /// `memory_mb` and `max_fds` are those of the process; zero: unknown.
     http_limits(metrics& registry, std::uint32_t memory_mb, std::uint32_t max_fds);
+    http_limits(const http_limits&) = delete;
+    http_limits& operator=(const http_limits&) = delete;
+    http_limits(http_limits&&) = delete;
+    http_limits& operator=(http_limits&&) = delete;
+    ~http_limits() = default;
 
     /// Limits that the legitimate clients of the address stay within. The result refers to this
     /// object.
--- a/packages/runtime/source/http/connection_policy.cpp
+++ b/packages/runtime/source/http/connection_policy.cpp
@@ -16,8 +16,8 @@
 constexpr milliseconds drain_limit{5000};
 
 /// With too many connections, one without a complete request is closed no earlier than this: its
-/// first request may be on its way.
-constexpr milliseconds min_fresh_age{500};
+/// first request may be on its way. New clients wait that long for a flood of silent ones.
+constexpr milliseconds min_fresh_age{200};
 /// With too many connections, a client that has not read its response for this long makes way.
 constexpr milliseconds min_unread_age{5000};
 
--- a/packages/runtime/source/http/memory_budget.cpp
+++ b/packages/runtime/source/http/memory_budget.cpp
@@ -24,7 +24,7 @@
 /// request of an address: a body of a caller with its copies, or a heartbeat of 4 MiB.
 constexpr std::array<address_share, http_address_names.size()> address_shares{
     {{4, 4 * bytes_per_mb, 4, 2000},
-     {32, bytes_per_mb / 2, 32, 128},
+     {32, bytes_per_mb / 2, 16, 128},
      {16, bytes_per_mb, 64, 8},
      {8, 6 * bytes_per_mb, 32, 64}}};
 
