runtime, daemon: the largest local heartbeat fits the least share

A request was charged for six copies of its body while it is handled, so a heartbeat of 4 MiB was refused with 503. A heartbeat is decoded at once: it counts twice. The new test of 4 MiB in the least share guards this.

--- a/packages/daemon/source/net/http_limits.cpp
+++ b/packages/daemon/source/net/http_limits.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t max_heartbeat_bytes = std::size_t{64} * 1024;
 /// The runner of the agent's own VM may send larger ones.
 constexpr std::size_t max_local_heartbeat_bytes = std::size_t{4} * 1024 * 1024;
+/// A heartbeat is decoded at once and not kept.
+constexpr std::size_t heartbeat_copies = 2;
 /// Largest body that an operator can allow, as a part of the memory of all callers.
 constexpr std::size_t body_divisor = 8;
 
@@ -53,6 +55,7 @@
     case http_address::registration:
         limits.max_body_bytes = max_heartbeat_bytes;
         limits.max_local_body_bytes = max_local_heartbeat_bytes;
+        limits.body_copies = heartbeat_copies;
         break;
     }
     return limits;
--- a/packages/runtime/include/egretstile/runtime/http/http_server.hpp
+++ b/packages/runtime/include/egretstile/runtime/http/http_server.hpp
@@ -44,6 +44,9 @@
         std::size_t max_body_bytes{std::size_t{4} * 1024 * 1024};
         /// Largest body from a client on the same VM; no effect when it is below `max_body_bytes`.
         std::size_t max_local_body_bytes{0};
+        /// Copies of a body that exist at most while the handler decodes, stores and forwards it;
+        /// they count as memory of the request until it is answered.
+        std::size_t body_copies{6};
         /// A connection on which no complete request arrives for this long is closed, unless a
         /// request is being handled. Longer than clients usually keep connections for reuse.
         milliseconds idle_limit{90000};
--- a/packages/runtime/source/http/http_server_connection.cpp
+++ b/packages/runtime/source/http/http_server_connection.cpp
@@ -23,8 +23,6 @@
 constexpr std::size_t body_growth = 4;
 /// Input that is read and dropped after a refusal, so that the client can read the response.
 constexpr std::size_t max_dropped_bytes = std::size_t{1024} * 1024;
-/// Copies of a body that exist at most while the handler decodes, stores and forwards it.
-constexpr std::size_t body_copies = 6;
 constexpr std::size_t call_bytes = std::size_t{4} * 1024;
 
 } // namespace
@@ -327,8 +325,11 @@
         send_response(std::move(*std::exchange(refusal_, std::nullopt)), keep_alive_);
         return;
     }
-    const std::size_t pending = body_copies * request_.body.size() + call_bytes;
-    if (!server_.reserve_memory(pending, *this)) {
+    const std::size_t body = request_.body.capacity();
+    const std::size_t pending =
+        std::max(server_.limits_.body_copies, std::size_t{1}) * body + call_bytes;
+    // The body itself has been counted.
+    if (!server_.reserve_memory(pending - body, *this)) {
         refuse(status_of(http_refusal::no_memory), http_refusal::no_memory);
         return;
     }
--- a/packages/runtime/source/http/memory_budget.cpp
+++ b/packages/runtime/source/http/memory_budget.cpp
@@ -26,7 +26,7 @@
     {{4, 4 * bytes_per_mb, 4, 2000},
      {32, bytes_per_mb / 2, 16, 128},
      {16, bytes_per_mb, 64, 8},
-     {8, 6 * bytes_per_mb, 32, 64}}};
+     {8, 10 * bytes_per_mb, 32, 64}}};
 
 constexpr std::size_t min_connections = 8;
 /// Memory of a caller's connection that the kernel and the process need at most while nothing is
--- a/packages/runtime/tests/http/client_limits_test.cpp
+++ b/packages/runtime/tests/http/client_limits_test.cpp
@@ -132,6 +132,20 @@
     CHECK(served.bodies.size() == 1);
 }
 
+// Guards against a share for registrations that is too small for the largest heartbeat of the
+// agent's own runner.
+TEST_CASE("the largest local body fits the least share of the registration address") {
+    const memory_budget smallest(1, 0);
+    limited_server served(
+        {.max_body_bytes = 64 * kb, .max_local_body_bytes = 4096 * kb, .body_copies = 2},
+        smallest.share(http_address::registration).limit());
+    Poco::Net::StreamSocket client = served.connect();
+    served.send(client, post("/", 4096 * kb, 4096 * kb));
+    CHECK(served.read_until(client, "\r\n\r\n").substr(0, 12) == "HTTP/1.1 200");
+    REQUIRE(served.bodies.size() == 1);
+    CHECK(served.bodies.front().size() == 4096 * kb);
+}
+
 // Guards against a refusal that the client cannot read, because unread input resets its connection.
 TEST_CASE("a refused client that goes on sending receives the refusal") {
     limited_server served({.max_body_bytes = 10 * kb});
