--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -66,15 +66,11 @@
     /// A failure domain that was taken out of service must get no task after this time, so no task
     /// is started when the closed domains were confirmed longer ago.
     milliseconds closure_age_limit{5000};
-    /// While a service is contended, its filling tasks are placed with
+    /// While filling tasks that can still be in time wait for room, filling tasks are placed with
     /// the smaller reserve `sharing_model::contended_placement_headroom` and only at the speed
     /// `sharing_model::contended_start_speed`; and jobs are ordered by the run times that filling
     /// tasks have in fact, not by their estimates alone.
     bool place_by_contention{false};
-    /// A service is contended when the filling tasks that wait, and can still be in time, request
-    /// at least this share of what the running ones do. Below it, room becomes free soon, and a
-    /// slow start at once ends sooner than a wait for a place at full speed.
-    double contended_share{0.5};
     /// Whether VMs whose runs fail become suspect, instead of being avoided for `avoidance_period`.
     bool track_runner_health{false};
     /// A task with one attempt left whose job is already late waits this long for a proven VM.
@@ -264,9 +260,8 @@
     bool start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     /// Headroom that a filling task of the service has to leave to serving tasks.
     double placement_headroom(const std::string& service) const;
-    /// Finds the contended services by the processor time that filling tasks wait for.
-    void update_contention(const std::map<std::string, std::int64_t>& waiting_millicores);
-    /// Whether the service was contended in the last pass; see `contended_share`.
+    /// Whether filling tasks of the service that can still be in time found no room in the last
+    /// pass.
     bool is_contended(const std::string& service) const;
     /// Sets the reserve of headroom and the smallest speed for a placement. Precondition: `job` is
     /// set.
@@ -353,7 +348,7 @@
     std::map<std::pair<std::string, std::string>, resources> unplaceable_;
     /// Results of `is_half_idle` in the present pass, by service.
     std::map<std::string, bool> half_idle_;
-    /// Services that were contended in the last pass.
+    /// Services for which filling tasks that can still be in time found no room in the last pass.
     std::set<std::string> contended_services_;
     boot_time moves_considered_at_{};
     boot_time checkpoints_marked_at_{};
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -238,7 +238,7 @@
 void job_scheduler::start_waiting_tasks(boot_time now, std::int64_t wall_ms) {
     unplaceable_.clear();
     half_idle_.clear();
-    std::map<std::string, std::int64_t> waiting_millicores;
+    std::set<std::string> contended;
     for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms, learned_run_times())) {
         job_entry* const job = rank.job;
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
@@ -255,32 +255,12 @@
                     step.gang ? start_gang(*job, k, s, now) : start_step(*job, k, s, now);
                 if (!had_room && step.fills_idle_cpu && !step.long_running &&
                     rank.timely != timeliness::too_late) {
-                    waiting_millicores[job->policy.service] +=
-                        static_cast<std::int64_t>(occurrence.steps[s].waiting.size()) *
-                        step.need.cpu_millicores;
+                    contended.insert(job->policy.service);
                 }
             }
         }
     }
-    update_contention(waiting_millicores);
-}
-
-void job_scheduler::update_contention(
-    const std::map<std::string, std::int64_t>& waiting_millicores) {
-    contended_services_.clear();
-    if (!settings_.place_by_contention || waiting_millicores.empty()) {
-        return;
-    }
-    std::map<std::string, std::int64_t> running_millicores;
-    for (const auto& [name, vm] : vms_) {
-        running_millicores[vm.runner.service] += vm.filling_millicores;
-    }
-    for (const auto& [service, millicores] : waiting_millicores) {
-        if (static_cast<double>(millicores) >=
-            settings_.contended_share * static_cast<double>(running_millicores[service])) {
-            contended_services_.insert(service);
-        }
-    }
+    contended_services_ = std::move(contended);
 }
 
 bool job_scheduler::is_contended(const std::string& service) const {
--- a/packages/core/tests/job/contended_speed_test.cpp
+++ b/packages/core/tests/job/contended_speed_test.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t slow_starts = 4;
 constexpr std::uint32_t full_speed_starts = 2;
 
-/// Lets a job with two tasks more than may start use the VM, ends its runs, and returns how many
+/// Lets a job with one task more than may start use the VM, ends its runs, and returns how many
 /// filling tasks run after a second job has come.
 std::size_t runs_under_contention(bool by_contention) {
     contended_vms vm(1, by_contention);
@@ -22,7 +22,7 @@
     reserving.steps[0].estimate_ms = 0;
     vm.scheduler.add_job(reserving);
     vm.exchange();
-    vm.add_filling("first", "image", slow_starts + 2);
+    vm.add_filling("first", "image", slow_starts + 1);
     vm.exchange();
     REQUIRE(vm.runs_of("first") == slow_starts);
     vm.add_filling("second", "image", slow_starts);
@@ -39,23 +39,6 @@
     CHECK(runs_under_contention(true) == full_speed_starts);
 }
 
-// Load: one task waits beside four that run. Guards against a wait for a place at full speed when
-// room becomes free soon.
-TEST_CASE("filling tasks start at a lower speed while little filling work waits") {
-    contended_vms vm(1);
-    job_spec reserving = make_plain_job("reserving", 5);
-    reserving.steps[0].long_running = true;
-    reserving.steps[0].estimate_ms = 0;
-    vm.scheduler.add_job(reserving);
-    vm.exchange();
-    vm.add_filling("first", "image", slow_starts + 1);
-    vm.exchange();
-    REQUIRE(vm.runs_of("first") == slow_starts);
-    vm.end_run("vm-0", {{"first", 0, 0, 0}, 1}, run_outcome::done);
-    vm.exchange();
-    CHECK(vm.runs_of("first") == slow_starts);
-}
-
 // Guards against a changed behaviour of deployments that have not asked for the part.
 TEST_CASE("without placement by contention filling tasks start at a lower speed") {
     CHECK(runs_under_contention(false) == slow_starts);
