core: a second serving image joins a mostly reserved VM

Cause: with a cost of 1.0 for each other serving image, the images took all empty VMs, and none was left for filling tasks that disturb every image.

--- a/packages/core/include/egretstile/core/job/image_separating_placer.hpp
+++ b/packages/core/include/egretstile/core/job/image_separating_placer.hpp
@@ -5,9 +5,9 @@
 namespace egretstile {
 
 /// Places tasks like `separating_placer`, but serving tasks so that few images share a VM: on a VM
-/// with the same image, else on an empty one, else beside the fewest other images. A VM has only
-/// the headroom of its most loaded image, and a filling image that slows down one serving image may
-/// be harmless to another.
+/// with the same image, else beside a single other image on a VM that is mostly reserved, else on
+/// an empty one, else beside the fewest other images. A VM has only the headroom of its most loaded
+/// image, and a filling image that slows down one serving image may be harmless to another.
 class image_separating_placer : public task_placer {
 public:
     vm_state* choose(const placement_request& request, vm_table& vms,
--- a/packages/core/source/job/image_separating_placer.cpp
+++ b/packages/core/source/job/image_separating_placer.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// Cost to a serving task of each other serving image on the VM. At least the largest gain by the
-/// share that serving tasks have reserved, so that an empty VM is preferred to one with only other
-/// images.
-constexpr double other_image_penalty = 1.0;
+/// Cost to a serving task of each other serving image on the VM. Half of the largest gain by the
+/// share that serving tasks have reserved, so that a second image joins a VM that is mostly reserved
+/// and leaves an empty one to filling tasks that disturb every image, and a third image does not.
+constexpr double other_image_penalty = 0.5;
 
 double other_images(const vm_state& vm, const std::string& image) {
     return static_cast<double>(vm.serving_by_image.size() - vm.serving_by_image.count(image));
