core: tasks wait for the rack of their data when they then end sooner

Cause: a task whose preferred rack is full starts elsewhere at once for a fixed penalty, which takes account neither of the remote factor nor of when the rack has room; a near VM with room also loses to others by placement cost.

locality_wait compares the expected ends near the data after a wait and elsewhere now; rack_forecast predicts from the expected ends of the runs when a rack has room, at most once in a pass for each rack and need; run_time_history learns run times and the remote factor by image. Waits are bounded by the objective and happen once for each task. Rack-local gangs use the same comparison, and a remote run is moved back when it ends sooner near its data. Takes effect only with remote_factor above 1.

--- a/packages/core/include/egretstile/core/job/decision.hpp
+++ b/packages/core/include/egretstile/core/job/decision.hpp
@@ -24,11 +24,14 @@
     avoid_vm,
     vm_stays_silent,
     starts_paused,
-    starts_resumed
+    starts_resumed,
+    wait_begins,
+    wait_ends,
+    move_near
 };
 
 /// Names in metrics.
-inline constexpr std::array<enum_name<decision_kind>, 15> decision_kind_names{
+inline constexpr std::array<enum_name<decision_kind>, 18> decision_kind_names{
     {{decision_kind::start_task, "start_task"},
      {decision_kind::step_waits, "step_waits"},
      {decision_kind::move_task, "move_task"},
@@ -43,10 +46,13 @@
      {decision_kind::avoid_vm, "avoid_vm"},
      {decision_kind::vm_stays_silent, "vm_stays_silent"},
      {decision_kind::starts_paused, "starts_paused"},
-     {decision_kind::starts_resumed, "starts_resumed"}}};
+     {decision_kind::starts_resumed, "starts_resumed"},
+     {decision_kind::wait_begins, "wait_begins"},
+     {decision_kind::wait_ends, "wait_ends"},
+     {decision_kind::move_near, "move_near"}}};
 
 /// Log messages. The command `egretstile logs` matches the beginnings of some of them.
-inline constexpr std::array<enum_name<decision_kind>, 15> decision_messages{
+inline constexpr std::array<enum_name<decision_kind>, 18> decision_messages{
     {{decision_kind::start_task, "Starts a task."},
      {decision_kind::step_waits, "A step waits: no VM has room for its next task."},
      {decision_kind::move_task, "Moves a task that makes no progress."},
@@ -63,7 +69,10 @@
       "Stopped waiting for a VM of an earlier leader that has not reported."},
      {decision_kind::starts_paused,
       "Starts no tasks: failure domains may have been closed without its knowledge."},
-     {decision_kind::starts_resumed, "Starts tasks: the closed failure domains are confirmed."}}};
+     {decision_kind::starts_resumed, "Starts tasks: the closed failure domains are confirmed."},
+     {decision_kind::wait_begins, "A task waits for a place near its data."},
+     {decision_kind::wait_ends, "A task no longer waits for a place near its data."},
+     {decision_kind::move_near, "Moves a task to the rack that holds its data."}}};
 
 /// One log line and one increment of the decision counter.
 struct decision {
--- a/packages/core/include/egretstile/core/job/job_explanation.hpp
+++ b/packages/core/include/egretstile/core/job/job_explanation.hpp
@@ -21,17 +21,19 @@
     unseen_runs,   ///< A VM that has not reported may still run tasks of an earlier leader.
     retry_pause,   ///< The pause after a failure or a rejection has not passed.
     gang_members,  ///< Members of the gang's previous run have not ended.
-    room           ///< No VM can take the next task; see `step_explanation::obstacles`.
+    room,          ///< No VM can take the next task; see `step_explanation::obstacles`.
+    near_place     ///< The next task waits for its rack; see `step_explanation::near_rack`.
 };
 
-inline constexpr std::array<enum_name<step_wait>, 7> step_wait_names{
+inline constexpr std::array<enum_name<step_wait>, 8> step_wait_names{
     {{step_wait::nothing, "nothing"},
      {step_wait::due_time, "due_time"},
      {step_wait::earlier_steps, "earlier_steps"},
      {step_wait::unseen_runs, "unseen_runs"},
      {step_wait::retry_pause, "retry_pause"},
      {step_wait::gang_members, "gang_members"},
-     {step_wait::room, "room"}}};
+     {step_wait::room, "room"},
+     {step_wait::near_place, "near_place"}}};
 
 struct running_task {
     task_ref task;
@@ -52,6 +54,10 @@
     /// Number of VMs by the obstacle to placing the next waiting task on them. Filled only when the
     /// step waits for room.
     std::map<placement_obstacle, std::size_t> obstacles;
+    /// Rack that the next task waits for, and how much longer it waits at most. Filled only when
+    /// the step waits for a near place.
+    std::string near_rack;
+    std::int64_t near_wait_left_ms{0};
 };
 
 /// State of a job and of its steps, for display to operators.
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -4,6 +4,9 @@
 #include <egretstile/core/job/decision.hpp>
 #include <egretstile/core/job/job_explanation.hpp>
 #include <egretstile/core/job/job_table.hpp>
+#include <egretstile/core/job/locality_wait.hpp>
+#include <egretstile/core/job/rack_forecast.hpp>
+#include <egretstile/core/job/run_time_history.hpp>
 #include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/job/task_placer.hpp>
 #include <egretstile/core/job/vm_table.hpp>
@@ -64,6 +67,11 @@
     /// A failure domain that was taken out of service must get no task after this time, so no task
     /// is started when the closed domains were confirmed longer ago.
     milliseconds closure_age_limit{5000};
+    /// Factor by which a task takes longer away from the rack that holds its data; with 1, tasks
+    /// never wait for that rack.
+    double remote_factor{1.0};
+    /// Time that a task needs to resume from a checkpoint.
+    milliseconds restore_time{0};
 };
 
 /// Decides on the leader which task runs on which VM. Produces orders for agents and progress to be
@@ -111,7 +119,10 @@
 
     /// Removes a VM whose registration was removed from the store. Precondition: `idle_vms` listed
     /// the VM and no report of it was applied since.
-    void remove_vm(const vm_name& name) { vms_.erase(name); }
+    void remove_vm(const vm_name& name) {
+        vms_.erase(name);
+        forget_racks();
+    }
 
     bool is_registered(const vm_name& name) const { return vms_.count(name) != 0; }
 
@@ -173,6 +184,9 @@
     /// VMs of earlier leaders that have not reported and may still run tasks.
     std::vector<vm_name> expected_vms() const;
 
+    /// Waits of tasks for the racks that hold their data, since this leader's start.
+    const wait_totals& near_wait_totals() const { return locality_.totals(); }
+
 private:
     /// Orders for one VM that were not returned by `take_orders` yet.
     struct outbox {
@@ -181,6 +195,35 @@
         std::vector<start_order> attributes;
     };
 
+    /// VMs of a rack that may take tasks of one kind once they have room, and when they will.
+    struct near_places {
+        std::string service;
+        std::string label;
+        std::string image;
+        place_need need;
+        std::vector<vm_state*> vms;
+        rack_forecast forecast;
+        /// No VM had room for the latest task in this pass.
+        bool full{false};
+        /// Expected speed of a filling task at the best place of the deployment; nothing: not
+        /// determined in this pass.
+        std::optional<double> best_speed;
+    };
+
+    enum class start_result : std::uint8_t {
+        started,
+        no_room,
+        waits_near ///< The task waits for a place near its data.
+    };
+
+    /// Where a task with a preferred rack starts.
+    struct near_choice {
+        /// VM near the data; null: none.
+        vm_state* vm{nullptr};
+        /// The task must not start elsewhere now.
+        bool waits{false};
+    };
+
     /// A task of a gang and the VM on which it will start.
     struct gang_member {
         vm_state* vm{nullptr};
@@ -254,8 +297,51 @@
     std::vector<std::string> racks_by_free_cpu(const job_entry& job) const;
     /// Stops the remaining members of a gang's run, which cannot work without `missing`.
     void stop_other_gang_members(const job_entry& job, const task_attempt& missing, boot_time now);
-    /// Places the task and orders its start. False when no VM can take it.
-    bool start_task(job_entry& job, const task_ref& task, boot_time now);
+    /// Places the task and orders its start, unless it waits for a place near its data.
+    start_result start_task(job_entry& job, const task_ref& task, boot_time now);
+    /// Time until a task of the step must end for the job to meet its objective; nothing when it
+    /// has none.
+    std::optional<milliseconds> due_in(const job_entry& job, const step_spec& step) const;
+    /// A VM on the step's preferred rack, or whether the task waits for one. Precondition: the
+    /// request's step has a preferred rack, and waiting is enabled.
+    near_choice choose_near(placement_request request, boot_time now);
+    /// Whether a place elsewhere is better for a filling task although the VM can take it.
+    bool is_much_slower(const vm_state& vm, const placement_request& request, near_places& places,
+                        boot_time now);
+    double best_speed(placement_request request, near_places& places, boot_time now);
+    /// Whether the task waits for its rack, which has no room for it, or only room that `ahead`
+    /// other tasks need more.
+    bool waits_near(const placement_request& request, near_places& places, std::size_t ahead,
+                    boot_time now);
+    wait_case wait_case_of(const placement_request& request) const;
+    near_places& places_of(const job_entry& job, const step_spec& step, const std::string& rack,
+                           boot_time now);
+    /// Whether a gang that fits on none of the racks waits until one has the room.
+    bool gang_waits(const job_entry& job, const task_ref& first,
+                    const std::vector<std::string>& racks, boot_time now);
+    void record_wait_begin(const task_ref& task, const std::string& rack);
+    /// Ends the wait of a task that was started.
+    void finish_wait(const task_ref& task, const std::string& rack, wait_end end, boot_time now);
+    void record_wait_end(const task_ref& task, const near_wait& wait, std::string_view end,
+                         boot_time now);
+    /// Begins a pass over the waiting tasks.
+    void begin_locality_pass(boot_time now);
+    /// Updates when the run is expected to end. Precondition: the run is on the VM.
+    void expect_end(vm_state& vm, const task_attempt& run, const step_spec& step,
+                    std::uint32_t percent, boot_time now);
+    /// Learns from a run that is done.
+    void learn_run_time(const vm_state& vm, const job_entry& job, const ended_run& end,
+                        boot_time now);
+    /// Moves runs back to the rack that holds their data when they end sooner there.
+    void move_tasks_near(boot_time now);
+    bool move_task_near(const job_entry& job, const task_ref& task, boot_time now);
+
+    /// The VMs of a rack may have changed.
+    void forget_racks() {
+        racks_.clear();
+        near_places_.clear();
+    }
+
     void order_start(job_entry& job, const task_ref& task, attempt_number attempt, vm_state& vm,
                      boot_time now);
     attempt_number next_attempt(const job_entry& job, const task_progress& progress) const;
@@ -301,6 +387,14 @@
     /// Slopes that each VM's agent was sent on its present connection, by serving and filling
     /// image.
     std::map<vm_name, std::map<std::pair<std::string, std::string>, double>> sent_slopes_;
+    /// Wall-clock time of the present pass in milliseconds since 1970.
+    std::int64_t pass_wall_ms_{0};
+    locality_wait locality_;
+    run_time_history run_times_;
+    /// VMs by rack; empty: to be filled when it is needed.
+    std::map<std::string, std::vector<vm_state*>> racks_;
+    /// Places by rack, as far as they were needed in the present pass.
+    std::map<std::string, std::vector<near_places>> near_places_;
 };
 
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -48,6 +48,8 @@
     boot_time retry_at{};
     /// VM on which the task failed, stalled or was rejected last; another one is preferred.
     vm_name failed_on;
+    /// A run was stopped to move the task to the rack that holds its data; it is not moved again.
+    bool moved_near{false};
 };
 
 /// One step of one occurrence.
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -29,6 +29,10 @@
     std::string rack;
     /// VM on which the task failed last; chosen only when no other can take the task.
     vm_name last_failed_vm;
+    /// VMs among which to choose; null: all.
+    const std::vector<vm_state*>* candidates{nullptr};
+    /// Racks that tasks with data there need room on; null: none.
+    const std::set<std::string>* wanted_racks{nullptr};
 };
 
 /// Chooses VMs for tasks. Implementations are not thread-safe.
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -22,6 +22,10 @@
     /// Most processor time that it uses, reserved or not.
     std::int64_t requested_millicores{0};
     std::string image;
+    /// When the run is expected to end; the maximum: not known, or it does not end by itself.
+    boot_time expected_end{boot_time::max()};
+    /// Time by which the run is likely to end earlier or later.
+    boot_clock::duration likely_error{0};
 };
 
 /// Headroom of the serving tasks of one image on a VM.
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -38,7 +38,8 @@
     : settings_(settings)
     , epoch_(epoch)
     , placer_(std::move(placer))
-    , observe_(std::move(observe)) {}
+    , observe_(std::move(observe))
+    , locality_({settings.remote_factor, settings.restore_time}) {}
 
 void job_scheduler::set_config(const operator_config& config) {
     config_ = config;
@@ -112,6 +113,9 @@
     } else {
         vm.lapsed_since = boot_time();
     }
+    if (vm.runner.rack != report.runner.rack) {
+        forget_racks();
+    }
     vm.runner = report.runner;
     vm.usable = report.lists_known && !report.has_runner_ended();
     if (report.has_runner_ended()) {
@@ -169,6 +173,7 @@
         vm.remove_run(end.run);
         return;
     }
+    learn_run_time(vm, *job, end, now);
     untrack_run(vm, end.run);
     task->progress.last_attempt = std::max(task->progress.last_attempt, end.run.attempt);
     if (end.outcome == run_outcome::done && !step_of(*job, end.run.task).long_running) {
@@ -262,6 +267,9 @@
     const bool new_here = vm.runs.count(active.run) == 0;
     vm.add_run(active.run, needs_of(step));
     tracked_run* tracked = find_run(active.run);
+    if (new_here || (tracked != nullptr && active.percent > tracked->percent)) {
+        expect_end(vm, active.run, step, active.percent, now);
+    }
     const bool should_run = !is_final(job->state) && !task->progress.done;
     if (tracked == nullptr && should_run && (task->runs.empty() || step.speculative)) {
         task->runs.push_back({active.run.attempt, vm.name});
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -46,6 +46,18 @@
     return longest;
 }
 
+/// Wall-clock time in milliseconds since 1970 at which the occurrence has taken `multiple` times
+/// the job's objective.
+std::int64_t objective_end_ms(const job_entry& job, const occurrence_state& occurrence,
+                              double multiple) {
+    const double objective =
+        static_cast<double>(job.critical_path.count()) * job.policy.slack_factor +
+        static_cast<double>(job.policy.target_completion.count());
+    // The objective of a scheduled occurrence counts from its due time, not from the acceptance.
+    return std::max(job.spec.accepted_at_ms, occurrence.due_ms) +
+           static_cast<std::int64_t>(objective * multiple);
+}
+
 /// Placement order of jobs: by priority, then by timeliness, then by the time at which the job
 /// should be done, then by id.
 struct job_rank {
@@ -61,19 +73,14 @@
 };
 
 job_rank rank_of(job_entry& job, std::int64_t wall_ms) {
-    const double objective =
-        static_cast<double>(job.critical_path.count()) * job.policy.slack_factor +
-        static_cast<double>(job.policy.target_completion.count());
     const occurrence_state& occurrence = current_occurrence(job);
-    // The objective of a scheduled occurrence counts from its due time, not from the acceptance.
-    const std::int64_t ready_at_ms = std::max(job.spec.accepted_at_ms, occurrence.due_ms);
     const std::int64_t expected_end_ms = wall_ms + remaining_critical_path(job, occurrence).count();
     job_rank rank;
     rank.priority = job.policy.priority;
-    rank.objective_ms = ready_at_ms + static_cast<std::int64_t>(objective);
+    rank.objective_ms = objective_end_ms(job, occurrence, 1.0);
     rank.job = &job;
     if (expected_end_ms > rank.objective_ms) {
-        rank.objective_ms = ready_at_ms + static_cast<std::int64_t>(objective * late_factor);
+        rank.objective_ms = objective_end_ms(job, occurrence, late_factor);
         rank.timely = expected_end_ms > rank.objective_ms ? timeliness::too_late : timeliness::late;
     }
     // Jobs without estimated run times, such as long-running ones, have no end to be late for.
@@ -117,7 +124,19 @@
 
 } // namespace
 
+std::optional<milliseconds> job_scheduler::due_in(const job_entry& job,
+                                                  const step_spec& step) const {
+    if (job.critical_path.count() == 0) {
+        return std::nullopt;
+    }
+    const occurrence_state& occurrence = current_occurrence(job);
+    const milliseconds later_steps =
+        remaining_critical_path(job, occurrence) - milliseconds(step.estimate_ms);
+    return milliseconds(objective_end_ms(job, occurrence, 1.0) - pass_wall_ms_) - later_steps;
+}
+
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
+    pass_wall_ms_ = wall_ms;
     give_up_silent_vms(now);
     move_off_draining_vms(now);
     if (now >= checkpoints_marked_at_ + settings_.checkpoint_interval) {
@@ -127,9 +146,11 @@
     if (!check_starts_allowed(now)) {
         return;
     }
+    begin_locality_pass(now);
     if (now >= moves_considered_at_ + settings_.move_interval) {
         moves_considered_at_ = now;
         move_stalled_tasks(now);
+        move_tasks_near(now);
     }
     start_waiting_tasks(now, wall_ms);
 }
@@ -237,7 +258,7 @@
         if (state.retry_at > now || may_have_unreported_run(job, state)) {
             continue;
         }
-        if (!start_task(job, task, now)) {
+        if (start_task(job, task, now) == start_result::no_room) {
             record_waiting_step(job, occurrence, step, now);
             return;
         }
@@ -284,7 +305,8 @@
     return failed != unplaceable_.end() && fits(failed->second, step.need);
 }
 
-bool job_scheduler::start_task(job_entry& job, const task_ref& task, boot_time now) {
+job_scheduler::start_result job_scheduler::start_task(job_entry& job, const task_ref& task,
+                                                      boot_time now) {
     const job_task& state = *jobs_.find_task(task);
     placement_request request;
     request.job = &job;
@@ -304,17 +326,31 @@
                 : known->second;
     }
     if (!request.accept_slow && is_unplaceable(job, *request.step)) {
-        return false;
+        return start_result::no_room;
+    }
+    near_choice near;
+    if (locality_.is_enabled()) {
+        request.wanted_racks = &locality_.wanted_racks();
+        if (!request.step->preferred_rack.empty()) {
+            near = choose_near(request, now);
+        }
     }
-    vm_state* const vm = placer_->choose(request, vms_, closed_domains_, now);
+    if (near.waits) {
+        return start_result::waits_near;
+    }
+    vm_state* const vm =
+        near.vm != nullptr ? near.vm : placer_->choose(request, vms_, closed_domains_, now);
     if (vm == nullptr) {
         if (request.step->fills_idle_cpu) {
             unplaceable_[{job.policy.service, request.step->image}] = request.step->need;
         }
-        return false;
+        return start_result::no_room;
     }
     order_start(job, task, next_attempt(job, state.progress), *vm, now);
-    return true;
+    finish_wait(task, request.step->preferred_rack,
+                vm->runner.rack == request.step->preferred_rack ? wait_end::near : wait_end::remote,
+                now);
+    return start_result::started;
 }
 
 void job_scheduler::order_start(job_entry& job, const task_ref& task, attempt_number attempt,
@@ -322,6 +358,7 @@
     job_task& state = *jobs_.find_task(task);
     const step_spec& step = job.spec.steps[task.step];
     vm.add_run({task, attempt}, needs_of(step));
+    expect_end(vm, {task, attempt}, step, 0, now);
     update_consumed_headroom(vm);
     tracked_run run;
     run.attempt = attempt;
--- a/packages/core/source/job/job_scheduler_explanation.cpp
+++ b/packages/core/source/job/job_scheduler_explanation.cpp
@@ -1,5 +1,7 @@
 #include <egretstile/core/job/job_scheduler.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace egretstile {
@@ -43,6 +45,12 @@
     }
     const task_ref next{job.spec.id, occurrence, step, *state.waiting.begin()};
     result.waits_for = wait_reason_of(job, next, now, wall_ms);
+    if (result.waits_for == step_wait::near_place) {
+        result.near_rack = job.spec.steps[step].preferred_rack;
+        const near_wait& wait = *locality_.find(next, result.near_rack);
+        result.near_wait_left_ms =
+            std::chrono::duration_cast<milliseconds>(std::max(wait.until, now) - now).count();
+    }
     if (result.waits_for == step_wait::room) {
         placement_request request;
         request.job = &job;
@@ -73,7 +81,11 @@
     if (job.spec.steps[next.step].gang && state.waiting.size() < state.tasks.size()) {
         return step_wait::gang_members;
     }
-    return task.retry_at > now ? step_wait::retry_pause : step_wait::room;
+    if (task.retry_at > now) {
+        return step_wait::retry_pause;
+    }
+    const near_wait* const wait = locality_.find(next, job.spec.steps[next.step].preferred_rack);
+    return wait != nullptr && !wait->over ? step_wait::near_place : step_wait::room;
 }
 
 } // namespace egretstile
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -20,13 +20,23 @@
     }
     std::vector<gang_member> members =
         place_gang(job, {job.spec.id, occurrence, step, 0}, attempt, now);
+    const task_ref first{job.spec.id, occurrence, step, 0};
+    const std::string& wanted_rack = job.spec.steps[step].preferred_rack;
     if (members.empty()) {
-        record_waiting_step(job, occurrence, step, now);
+        const near_wait* const wait = locality_.find(first, wanted_rack);
+        if (wait == nullptr || wait->over) {
+            record_waiting_step(job, occurrence, step, now);
+        }
         return;
     }
     for (const gang_member& member : members) {
         order_start(job, member.task, attempt, *member.vm, now);
     }
+    const bool on_one_rack =
+        std::all_of(members.begin(), members.end(), [&](const gang_member& member) {
+            return member.vm->runner.rack == members.front().vm->runner.rack;
+        });
+    finish_wait(first, wanted_rack, on_one_rack ? wait_end::near : wait_end::remote, now);
 }
 
 std::vector<job_scheduler::gang_member> job_scheduler::place_gang(const job_entry& job,
@@ -40,6 +50,9 @@
     // The empty name stands for all racks; tried last, when no single rack has the room.
     racks.emplace_back();
     for (const std::string& rack : racks) {
+        if (rack.empty() && gang_waits(job, first, racks, now)) {
+            return {};
+        }
         std::vector<gang_member> members = place_gang_on_rack(job, first, attempt, rack, now);
         if (!members.empty()) {
             return members;
--- a/packages/core/source/job/job_scheduler_moves.cpp
+++ b/packages/core/source/job/job_scheduler_moves.cpp
@@ -87,7 +87,7 @@
             std::to_string(static_cast<std::int64_t>(milliseconds_of(now - run.progressed_at))));
     state.failed_on = run.vm;
     if (job.spec.steps[task.step].speculative) {
-        return start_task(job, task, now);
+        return start_task(job, task, now) == start_result::started;
     }
     order_stop(vms_[run.vm], {task, run.attempt}, now);
     return true;
--- /dev/null
+++ b/packages/core/source/job/rack_forecast.cpp
@@ -0,0 +1,108 @@
+#include <egretstile/core/job/rack_forecast.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <utility>
+
+namespace egretstile {
+
+namespace {
+
+/// Most places of one VM that are predicted.
+constexpr std::size_t max_places_of_vm = 128;
+
+/// Number of tasks that fit into `available`.
+std::size_t count_fitting(const place_need& need, const resources& available) {
+    const auto share = [](std::int64_t amount, std::int64_t needed) {
+        if (needed <= 0) {
+            return amount < 0 ? std::int64_t{0} : std::numeric_limits<std::int64_t>::max();
+        }
+        return std::max<std::int64_t>(amount, 0) / needed;
+    };
+    const std::int64_t count =
+        std::min({share(available.cpu_millicores, need.reserved.cpu_millicores),
+                  share(available.memory_mb, need.reserved.memory_mb),
+                  share(available.accelerators, need.reserved.accelerators)});
+    return std::min(static_cast<std::size_t>(count),
+                    need.max_per_vm == 0
+                        ? max_places_of_vm
+                        : std::min<std::size_t>(need.max_per_vm, max_places_of_vm));
+}
+
+} // namespace
+
+boot_time expected_end_of(const vm_run& run, boot_time now) {
+    if (run.expected_end == boot_time::max() || run.expected_end > now) {
+        return run.expected_end;
+    }
+    return now + std::max<boot_clock::duration>((now - run.expected_end) / 2, run.likely_error);
+}
+
+rack_forecast::rack_forecast(const std::vector<vm_state*>& vms, const place_need& need,
+                             boot_time now) {
+    for (const vm_state* const vm : vms) {
+        add_places(*vm, need, now);
+    }
+    std::make_heap(places_.begin(), places_.end(), std::greater<>());
+}
+
+void rack_forecast::add_places(const vm_state& vm, const place_need& need, boot_time now) {
+    std::vector<std::pair<boot_time, const vm_run*>> ends;
+    ends.reserve(vm.runs.size());
+    for (const auto& [attempt, run] : vm.runs) {
+        const boot_time end = expected_end_of(run, now);
+        if (end != boot_time::max()) {
+            ends.emplace_back(end, &run);
+        }
+    }
+    std::sort(ends.begin(), ends.end());
+    if (need.filling_millicores > 0) {
+        // A filling task reserves no processor time; a place for it is free when another filling
+        // task ends, because whether one fits now depends on more than the runs.
+        for (const auto& [end, run] : ends) {
+            if (run->fills_idle_cpu && run->requested_millicores >= need.filling_millicores) {
+                places_.push_back(end);
+            }
+        }
+        return;
+    }
+    resources available = vm.runner.capacity - vm.reserved;
+    std::size_t places = count_fitting(need, available);
+    free_places_ += places;
+    places_.insert(places_.end(), places, now);
+    for (const auto& [end, run] : ends) {
+        available = available + run->reserved;
+        const std::size_t fitting = count_fitting(need, available);
+        if (fitting > places) {
+            places_.insert(places_.end(), fitting - places, end);
+            places = fitting;
+        }
+    }
+}
+
+std::optional<boot_time> rack_forecast::next() const {
+    return places_.empty() ? std::nullopt : std::optional<boot_time>(places_.front());
+}
+
+void rack_forecast::take(boot_clock::duration run_time) {
+    if (places_.empty()) {
+        return;
+    }
+    std::pop_heap(places_.begin(), places_.end(), std::greater<>());
+    places_.back() += run_time;
+    free_places_ -= free_places_ > 0 ? 1 : 0;
+    std::push_heap(places_.begin(), places_.end(), std::greater<>());
+}
+
+std::optional<boot_time> rack_forecast::when_free(std::size_t count) const {
+    if (count == 0 || places_.size() < count) {
+        return std::nullopt;
+    }
+    std::vector<boot_time> sorted = places_;
+    const auto last = std::next(sorted.begin(), static_cast<std::ptrdiff_t>(count) - 1);
+    std::nth_element(sorted.begin(), last, sorted.end());
+    return *last;
+}
+
+} // namespace egretstile
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -14,6 +14,9 @@
 constexpr double avoided_penalty = 20.0;
 /// Below `avoided_penalty`, because remote data only slows a task down.
 constexpr double remote_rack_penalty = 2.0;
+/// Cost to a task without data on a rack that other tasks need because of their data. Small, so
+/// that it decides only between VMs that are nearly equal otherwise.
+constexpr double wanted_rack_penalty = 0.1;
 /// Cost to a serving task of a VM on which filling tasks would use the whole processor time;
 /// proportionally less for a smaller use. It is no obstacle: a serving task is placed beside
 /// filling tasks rather than not at all.
@@ -68,6 +71,10 @@
     if (!request.step->preferred_rack.empty() && vm.runner.rack != request.step->preferred_rack) {
         cost += remote_rack_penalty;
     }
+    if (request.wanted_racks != nullptr && vm.runner.rack != request.step->preferred_rack &&
+        request.wanted_racks->count(vm.runner.rack) != 0) {
+        cost += wanted_rack_penalty;
+    }
     return cost;
 }
 
@@ -111,15 +118,24 @@
                          const std::set<failure_domain_name>& closed_domains, Cost cost_of) {
     vm_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
-    for (auto& [name, vm] : vms) {
+    const auto consider = [&](vm_state& vm) {
         if (!may_take(vm, request, closed_domains)) {
-            continue;
+            return;
         }
         const double cost = cost_of(vm);
         if (cost < best_cost) {
             best = &vm;
             best_cost = cost;
         }
+    };
+    if (request.candidates != nullptr) {
+        for (vm_state* const vm : *request.candidates) {
+            consider(*vm);
+        }
+        return best;
+    }
+    for (auto& [name, vm] : vms) {
+        consider(vm);
     }
     return best;
 }
--- a/packages/core/tests/job/simulated_vms.hpp
+++ b/packages/core/tests/job/simulated_vms.hpp
@@ -32,8 +32,9 @@
 /// test.
 class simulated_vms {
 public:
-    explicit simulated_vms(std::size_t count, std::size_t vms_of_rack = 2)
-        : scheduler({}, 1, std::make_unique<separating_placer>(),
+    explicit simulated_vms(std::size_t count, std::size_t vms_of_rack = 2,
+                           const scheduler_settings& settings = {})
+        : scheduler(settings, 1, std::make_unique<separating_placer>(),
                     [this](const decision& made) { decisions.push_back(made); }) {
         for (std::size_t number = 0; number < count; ++number) {
             const vm_name name = "vm-" + std::to_string(number);
