core, daemon, bench: settings, metrics and explanation of waits for near places

Cause: the leader was not given remote_factor and restore_ms, and operators could not see what a task waits for or whether waits pay off.

The entry passes the settings on; job-explain shows near_place with the rack and the time left; egretstile_near_waits and egretstile_near_wait_seconds count the waits. A wait begins anew while no VM elsewhere has room. egretstile_decision_bench compares four rules over the same arrivals and measures the time of a decision.

--- a/packages/core/include/egretstile/core/job/locality_wait.hpp
+++ b/packages/core/include/egretstile/core/job/locality_wait.hpp
@@ -47,8 +47,9 @@
 /// A task that waits for a place near its data, or has done so.
 struct near_wait {
     boot_time since{};
-    /// The task does not wait longer than this.
+    /// The task does not wait longer than this while there is a place elsewhere.
     boot_time until{};
+    milliseconds longest{0};
     /// Predicted wait, and times until the end of the task after that wait and after a start
     /// elsewhere, as of `since`.
     milliseconds predicted{0};
@@ -105,6 +106,10 @@
     /// Whether the task waits for its rack. Precondition: `is_enabled()`.
     wait_verdict decide(const task_ref& task, const wait_case& known, boot_time now);
 
+    /// Begins the task's wait anew when it has one, because no place elsewhere had room for it, so
+    /// that it has lost nothing by waiting so far.
+    void renew_without_alternative(const task_ref& task, const std::string& rack, boot_time now);
+
     /// Ends the task's wait, because it has started. Returns the wait; nothing when it did not
     /// wait.
     std::optional<near_wait> finish(const task_ref& task, const std::string& rack, wait_end end,
--- a/packages/core/include/egretstile/core/job/rack_forecast.hpp
+++ b/packages/core/include/egretstile/core/job/rack_forecast.hpp
@@ -45,7 +45,15 @@
     std::optional<boot_time> when_free(std::size_t count) const;
 
 private:
-    void add_places(const vm_state& vm, const place_need& need, boot_time now);
+    /// A run that releases its resources when it ends.
+    struct expected_release {
+        boot_time at{};
+        const vm_run* run{nullptr};
+    };
+
+    /// `ends` is reused between VMs to save allocations; its contents are replaced.
+    void add_places(const vm_state& vm, const place_need& need, boot_time now,
+                    std::vector<expected_release>& ends);
 
     /// Heap with the earliest place first.
     std::vector<boot_time> places_;
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -341,6 +341,7 @@
     vm_state* const vm =
         near.vm != nullptr ? near.vm : placer_->choose(request, vms_, closed_domains_, now);
     if (vm == nullptr) {
+        locality_.renew_without_alternative(task, request.step->preferred_rack, now);
         if (request.step->fills_idle_cpu) {
             unplaceable_[{job.policy.service, request.step->image}] = request.step->need;
         }
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -25,6 +25,7 @@
     if (members.empty()) {
         const near_wait* const wait = locality_.find(first, wanted_rack);
         if (wait == nullptr || wait->over) {
+            locality_.renew_without_alternative(first, wanted_rack, now);
             record_waiting_step(job, occurrence, step, now);
         }
         return;
--- a/packages/core/source/job/locality_wait.cpp
+++ b/packages/core/source/job/locality_wait.cpp
@@ -119,6 +119,7 @@
     near_wait& wait = waits[task];
     wait.since = now;
     wait.until = now + longest;
+    wait.longest = longest;
     wait.predicted = predicted;
     wait.near_end = expected.near_after_wait;
     wait.remote_end = expected.remote;
@@ -130,6 +131,19 @@
     return wait_verdict::begins;
 }
 
+void locality_wait::renew_without_alternative(const task_ref& task, const std::string& rack,
+                                              boot_time now) {
+    const auto waits = waits_.find(rack);
+    if (waits == waits_.end()) {
+        return;
+    }
+    const auto found = waits->second.find(task);
+    if (found != waits->second.end()) {
+        found->second.over = false;
+        found->second.until = now + found->second.longest;
+    }
+}
+
 std::optional<near_wait> locality_wait::finish(const task_ref& task, const std::string& rack,
                                                wait_end end, boot_time now) {
     const auto waits = waits_.find(rack);
--- a/packages/core/source/job/rack_forecast.cpp
+++ b/packages/core/source/job/rack_forecast.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
-#include <utility>
 
 namespace egretstile {
 
@@ -41,41 +40,46 @@
 
 rack_forecast::rack_forecast(const std::vector<vm_state*>& vms, const place_need& need,
                              boot_time now) {
+    std::vector<expected_release> ends;
     for (const vm_state* const vm : vms) {
-        add_places(*vm, need, now);
+        add_places(*vm, need, now, ends);
     }
     std::make_heap(places_.begin(), places_.end(), std::greater<>());
 }
 
-void rack_forecast::add_places(const vm_state& vm, const place_need& need, boot_time now) {
-    std::vector<std::pair<boot_time, const vm_run*>> ends;
-    ends.reserve(vm.runs.size());
+void rack_forecast::add_places(const vm_state& vm, const place_need& need, boot_time now,
+                               std::vector<expected_release>& ends) {
+    ends.clear();
     for (const auto& [attempt, run] : vm.runs) {
         const boot_time end = expected_end_of(run, now);
         if (end != boot_time::max()) {
-            ends.emplace_back(end, &run);
+            ends.push_back({end, &run});
         }
     }
-    std::sort(ends.begin(), ends.end());
     if (need.filling_millicores > 0) {
         // A filling task reserves no processor time; a place for it is free when another filling
         // task ends, because whether one fits now depends on more than the runs.
-        for (const auto& [end, run] : ends) {
-            if (run->fills_idle_cpu && run->requested_millicores >= need.filling_millicores) {
-                places_.push_back(end);
+        for (const expected_release& release : ends) {
+            if (release.run->fills_idle_cpu &&
+                release.run->requested_millicores >= need.filling_millicores) {
+                places_.push_back(release.at);
             }
         }
         return;
     }
+    std::sort(ends.begin(), ends.end(),
+              [](const expected_release& left, const expected_release& right) {
+                  return left.at < right.at;
+              });
     resources available = vm.runner.capacity - vm.reserved;
     std::size_t places = count_fitting(need, available);
     free_places_ += places;
     places_.insert(places_.end(), places, now);
-    for (const auto& [end, run] : ends) {
-        available = available + run->reserved;
+    for (const expected_release& release : ends) {
+        available = available + release.run->reserved;
         const std::size_t fitting = count_fitting(need, available);
         if (fitting > places) {
-            places_.insert(places_.end(), fitting - places, end);
+            places_.insert(places_.end(), fitting - places, release.at);
             places = fitting;
         }
     }
--- a/packages/core/tests/job/locality_wait_test.cpp
+++ b/packages/core/tests/job/locality_wait_test.cpp
@@ -79,6 +79,21 @@
     CHECK(waits.decide(first_task, known, now + milliseconds(4)) == wait_verdict::start);
 }
 
+// Guards against tasks of an overloaded deployment that go elsewhere as soon as there is any room,
+// because the time in which there was none counted as waiting.
+TEST_CASE("time without a place elsewhere does not use up a task's wait") {
+    locality_wait waits(enabled());
+    wait_case known = short_case(milliseconds(100));
+    known.due_in.reset();
+    REQUIRE(waits.decide(first_task, known, start) == wait_verdict::begins);
+    const boot_time later = start + milliseconds(5000);
+    REQUIRE(waits.decide(first_task, known, later) == wait_verdict::start);
+    waits.renew_without_alternative(first_task, "rack", later);
+    CHECK(waits.decide(first_task, known, later + milliseconds(4)) == wait_verdict::goes_on);
+    CHECK(waits.decide(first_task, known, later + milliseconds(650)) == wait_verdict::start);
+    CHECK(waits.totals().begun == 1);
+}
+
 // Guards against waits for a rack that is closed, draining, failing or gone.
 TEST_CASE("a wait ends at once when no near place is expected any more") {
     locality_wait waits(enabled());
--- a/packages/daemon/source/jobs/job_entry_metrics.cpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.cpp
@@ -21,6 +21,16 @@
     }
 }
 
+namespace {
+
+prometheus::Gauge& near_waits_gauge(metrics& registry, const std::string& event) {
+    return registry.gauge("egretstile_near_waits",
+                          "Waits of tasks for places near their data, since this entry leads.",
+                          {{"event", event}});
+}
+
+} // namespace
+
 job_entry_metrics::job_entry_metrics()
     : call_seconds_(metrics_.histogram("egretstile_job_call_seconds",
                                        "Time from a caller's request to its response.",
@@ -41,7 +51,14 @@
     , connections_(metrics_.gauge("egretstile_caller_connections", "Open connections of callers."))
     , dropped_log_lines_(
           metrics_.gauge("egretstile_log_left_out_lines",
-                         "Log lines that were left out since the start of the process.")) {
+                         "Log lines that were left out since the start of the process."))
+    , near_waits_begun_(near_waits_gauge(metrics_, "begun"))
+    , near_waits_ended_near_(near_waits_gauge(metrics_, "ended_near"))
+    , near_waits_ended_remote_(near_waits_gauge(metrics_, "ended_remote"))
+    , near_waits_dropped_(near_waits_gauge(metrics_, "dropped"))
+    , near_wait_seconds_(
+          metrics_.gauge("egretstile_near_wait_seconds",
+                         "Time that tasks have waited for places near their data.")) {
     for (const enum_name<job_call>& call : job_call_names) {
         for (const enum_name<job_call_outcome>& outcome : job_call_outcome_names) {
             calls_.at(static_cast<std::size_t>(call.value))
@@ -78,6 +95,11 @@
     vms_.Set(static_cast<double>(state.vms));
     connections_.Set(static_cast<double>(state.connections));
     dropped_log_lines_.Set(static_cast<double>(state.dropped_log_lines));
+    near_waits_begun_.Set(static_cast<double>(state.near_waits.begun));
+    near_waits_ended_near_.Set(static_cast<double>(state.near_waits.ended_near));
+    near_waits_ended_remote_.Set(static_cast<double>(state.near_waits.ended_remote));
+    near_waits_dropped_.Set(static_cast<double>(state.near_waits.dropped));
+    near_wait_seconds_.Set(std::chrono::duration<double>(state.near_waits.waited).count());
 }
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_entry_metrics.hpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.hpp
@@ -5,6 +5,7 @@
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/job/decision.hpp>
+#include <egretstile/core/job/locality_wait.hpp>
 
 #include <array>
 #include <cstddef>
@@ -51,6 +52,8 @@
     std::size_t vms{0};
     std::size_t connections{0};
     std::uint64_t dropped_log_lines{0};
+    /// Waits of tasks for the racks that hold their data, since this entry leads.
+    wait_totals near_waits;
 };
 
 /// Metrics of a job entry; docs/metrics.md lists them. Thread-safe.
@@ -80,6 +83,11 @@
     prometheus::Gauge& vms_;
     prometheus::Gauge& connections_;
     prometheus::Gauge& dropped_log_lines_;
+    prometheus::Gauge& near_waits_begun_;
+    prometheus::Gauge& near_waits_ended_near_;
+    prometheus::Gauge& near_waits_ended_remote_;
+    prometheus::Gauge& near_waits_dropped_;
+    prometheus::Gauge& near_wait_seconds_;
 };
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -133,6 +133,8 @@
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
+    settings.scheduler.remote_factor = settings_.remote_factor;
+    settings.scheduler.restore_time = settings_.restore_time;
     leader_ = std::make_unique<job_leader>(
         loop_, *store_, settings, acquired,
         job_leader::handlers{[this](const vm_name& name, const wire::message& message) {
@@ -323,6 +325,7 @@
         state.jobs = scheduler.job_count();
         state.unfinished_jobs = scheduler.jobs().unfinished().size();
         state.vms = scheduler.vms().size();
+        state.near_waits = scheduler.near_wait_totals();
     }
     state.config_version = config_version();
     if (const std::optional<boot_time> confirmed = operators_.confirmed_at()) {
--- a/packages/daemon/source/jobs/state_page.cpp
+++ b/packages/daemon/source/jobs/state_page.cpp
@@ -107,6 +107,10 @@
         }
         object->set("vms_by_obstacle", obstacles);
     }
+    if (step.waits_for == step_wait::near_place) {
+        object->set("near_rack", step.near_rack);
+        object->set("near_wait_left_ms", step.near_wait_left_ms);
+    }
     Array::Ptr running = new Array;
     for (const running_task& run : step.running) {
         running->add(to_json(run));
--- a/packages/daemon/tests/jobs/state_page_test.cpp
+++ b/packages/daemon/tests/jobs/state_page_test.cpp
@@ -62,12 +62,22 @@
     step.obstacles[placement_obstacle::no_room] = 11;
     step.running.push_back({{"a1", 0, 1, 4}, 2, "side-1", 40, false});
     job.steps.push_back(step);
+    step_explanation near;
+    near.waits_for = step_wait::near_place;
+    near.near_rack = "rack-3";
+    near.near_wait_left_ms = 250;
+    job.steps.push_back(near);
     const Poco::JSON::Object::Ptr page = parsed(describe_job("a1", job));
     CHECK(page->getValue<std::string>("state") == "running");
     const Poco::JSON::Object::Ptr shown = page->getArray("steps")->getObject(0);
     CHECK(shown->getValue<std::string>("step") == "0.1");
     CHECK(shown->getValue<std::string>("waits_for") == "room");
     CHECK(shown->getObject("vms_by_obstacle")->getValue<int>("no_room") == 11);
+    CHECK_FALSE(shown->has("near_rack"));
+    const Poco::JSON::Object::Ptr shown_near = page->getArray("steps")->getObject(1);
+    CHECK(shown_near->getValue<std::string>("waits_for") == "near_place");
+    CHECK(shown_near->getValue<std::string>("near_rack") == "rack-3");
+    CHECK(shown_near->getValue<int>("near_wait_left_ms") == 250);
     CHECK(shown->getArray("running")->getObject(0)->getValue<std::string>("task") == "a1.0.1.4");
 }
 
--- a/testing/bench/benches.hpp
+++ b/testing/bench/benches.hpp
@@ -18,6 +18,14 @@
 /// and upstreams that are slowed down in turn. Simulates the decisions, not the whole system.
 void run_routing_trial(std::uint64_t seed);
 
+/// Time of one decision whether a task waits for its rack, with 100 racks, 1,700 VMs, 23,000 runs
+/// and 2,000 waiting tasks.
+void run_locality_bench(std::uint64_t seed);
+
+/// Completion times of tasks with data on a rack under four rules of waiting for it, over the same
+/// arrivals. Simulates the decisions, not the whole system.
+void run_locality_trial(std::uint64_t seed);
+
 /// Imbalance between shards, and share of the tasks that move when an entry joins or leaves.
 void run_shard_bench(std::uint64_t seed);
 
--- a/testing/bench/decision_bench.cpp
+++ b/testing/bench/decision_bench.cpp
@@ -11,5 +11,7 @@
     egretstile::bench::run_routing_bench(seed);
     egretstile::bench::run_routing_trial(seed);
     egretstile::bench::run_shard_bench(seed);
+    egretstile::bench::run_locality_bench(seed);
+    egretstile::bench::run_locality_trial(seed);
     return 0;
 }
