core: property test of waits for racks under faults, slow places of filling tasks

Cause: no test covered waits and moves back while leaders change, agents restart and runners crash. A filling task that may not be slow also marked the near places as full for later tasks that may.

The model of the cluster has two racks and takes the scheduler's settings; a new case requires the same rules with remote_factor 2 and jobs with data on a rack, and that more than 100 waits and 10 moves back occur in it.

--- a/packages/core/source/job/job_scheduler_locality.cpp
+++ b/packages/core/source/job/job_scheduler_locality.cpp
@@ -115,7 +115,9 @@
             // Other tasks have taken the room in this pass.
             places.forecast = rack_forecast(places.vms, places.need, now);
         }
-        places.full = places.need.max_per_vm == 0;
+        // A filling task that accepts a slow place may find one where others do not.
+        places.full =
+            places.need.max_per_vm == 0 && (!request.step->fills_idle_cpu || request.accept_slow);
     }
     std::size_t ahead = 0;
     if (vm != nullptr && locality_.is_awaited(request.step->preferred_rack)) {
--- a/packages/core/tests/job/job_scheduler_property_test.cpp
+++ b/packages/core/tests/job/job_scheduler_property_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 namespace egretstile::model {
 namespace {
 
@@ -74,5 +76,43 @@
     }
 }
 
+// Guards against waits for a rack, and moves back to it, that break these rules or keep a task
+// waiting for ever.
+TEST_CASE("no task runs twice and all jobs are done when tasks wait for the rack of their data") {
+    scheduler_settings settings;
+    settings.remote_factor = 2.0;
+    settings.restore_time = milliseconds(50);
+    std::map<decision_kind, std::size_t> decisions;
+    for (std::uint64_t round = 0; round < 20; ++round) {
+        const std::uint64_t seed = test_seed() + 2000 + round;
+        std::mt19937_64 random(seed);
+        cluster_model cluster(seed, {}, settings);
+        for (std::uint64_t number = 0; number < 25; ++number) {
+            job_spec job = two_step_job(number, random);
+            for (step_spec& step : job.steps) {
+                step.count += 4;
+                step.checkpointing = random() % 2 == 0;
+                step.preferred_rack = random() % 2 == 0 ? "rack-0" : "rack-1";
+            }
+            job.policy.slack_factor = 3.0;
+            cluster.submit(job);
+            cluster.run(milliseconds(1000), true);
+        }
+        cluster.run(milliseconds(90000), false);
+        for (std::uint64_t number = 0; number < 25; ++number) {
+            INFO("seed " << seed << " job " << number);
+            CHECK(cluster.state_of("job-" + std::to_string(number)) == job_state::completed);
+        }
+        expect_no_violations(cluster, seed);
+        for (const auto& [kind, count] : cluster.decisions()) {
+            decisions[kind] += count;
+        }
+    }
+    // Otherwise the test would not cover what it guards.
+    CHECK(decisions[decision_kind::wait_begins] > 100);
+    CHECK(decisions[decision_kind::wait_ends] > 100);
+    CHECK(decisions[decision_kind::move_near] > 10);
+}
+
 } // namespace
 } // namespace egretstile::model
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -24,11 +24,17 @@
     return "domain of " + vm;
 }
 
+/// Two VMs are on a rack.
+std::string rack_of(const vm_name& vm) {
+    return vm == "vm-0" || vm == "vm-1" ? "rack-0" : "rack-1";
+}
+
 runner_registration registration_of(const model_runner& runner) {
     runner_registration registration;
     registration.instance = runner.instance();
     registration.service = "service";
     registration.failure_domain = domain_of(runner.name());
+    registration.rack = rack_of(runner.name());
     registration.capacity = {runner_millicores, 100000, 0};
     registration.state = runner_state::ready;
     return registration;
@@ -36,9 +42,11 @@
 
 } // namespace
 
-cluster_model::cluster_model(std::uint64_t seed, const fault_rates& rates)
+cluster_model::cluster_model(std::uint64_t seed, const fault_rates& rates,
+                             const scheduler_settings& settings)
     : random_(seed)
-    , fault_rates_(rates) {
+    , fault_rates_(rates)
+    , settings_(settings) {
     for (std::size_t number = 0; number < runner_count; ++number) {
         const vm_name name = "vm-" + std::to_string(number);
         runners_.push_back(std::make_unique<model_runner>(
@@ -273,9 +281,9 @@
     }
     const std::shared_ptr<leader> next = std::make_shared<leader>();
     next->stops_at_ms = std::numeric_limits<std::int64_t>::max();
-    const scheduler_settings settings;
-    next->scheduler = std::make_unique<job_scheduler>(
-        settings, ++epoch_, std::make_unique<separating_placer>(), [](const decision&) {});
+    next->scheduler =
+        std::make_unique<job_scheduler>(settings_, ++epoch_, std::make_unique<separating_placer>(),
+                                        [this](const decision& made) { ++decisions_[made.kind]; });
     for (const auto& [id, job] : jobs_) {
         next->scheduler->add_job(job);
         if (cancelled_.count(id) != 0) {
@@ -287,9 +295,9 @@
     }
     const std::int64_t silent_ms =
         epoch_ == 1 ? 0
-                    : settings.lapse_margin.count() +
+                    : settings_.lapse_margin.count() +
                           static_cast<std::int64_t>(
-                              static_cast<double>(settings.permission_term.count()) * 1.02);
+                              static_cast<double>(settings_.permission_term.count()) * 1.02);
     for (const auto& [name, current] : agents_) {
         if (epoch_ == 1) {
             next->scheduler->register_vm(name);
--- a/packages/core/tests/job/model/cluster_model.hpp
+++ b/packages/core/tests/job/model/cluster_model.hpp
@@ -39,7 +39,8 @@
 /// changes of the leader. Records violations of the rules that users rely on.
 class cluster_model {
 public:
-    cluster_model(std::uint64_t seed, const fault_rates& rates);
+    cluster_model(std::uint64_t seed, const fault_rates& rates,
+                  const scheduler_settings& settings = {});
 
     /// Simulates a span of time; injects faults only when `with_faults` is true.
     void run(milliseconds span, bool with_faults);
@@ -52,6 +53,9 @@
 
     std::size_t starts() const { return starts_; }
 
+    /// Decisions of all leaders.
+    const std::map<decision_kind, std::size_t>& decisions() const { return decisions_; }
+
 private:
     struct agent {
         std::unique_ptr<run_tracker> tracker;
@@ -91,6 +95,8 @@
 
     std::mt19937_64 random_;
     fault_rates fault_rates_;
+    scheduler_settings settings_;
+    std::map<decision_kind, std::size_t> decisions_;
     std::int64_t now_ms_{1000};
     epoch_number epoch_{0};
     std::vector<std::unique_ptr<model_runner>> runners_;
