core: a near place that is left or too slow is not chosen by the placement cost

Cause: two new tests failed: a task that left the near place to a waiting task, and a filling task for which the near VMs were much slower, were then placed by cost among all VMs, and the cost of remote data led back to the near VM.

Both are now placed among the VMs elsewhere; a task that finds none there does not take the place that was left to the other.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -205,9 +205,9 @@
         rack_forecast forecast;
         /// No VM had room for the latest task in this pass.
         bool full{false};
-        /// Expected speed of a filling task at the best place of the deployment; nothing: not
-        /// determined in this pass.
-        std::optional<double> best_speed;
+        /// Expected speed of a filling task at the best place elsewhere; nothing: not determined in
+        /// this pass.
+        std::optional<double> speed_elsewhere;
     };
 
     enum class start_result : std::uint8_t {
@@ -218,7 +218,7 @@
 
     /// Where a task with a preferred rack starts.
     struct near_choice {
-        /// VM near the data; null: none.
+        /// VM on which it starts, near its data or elsewhere; null: any.
         vm_state* vm{nullptr};
         /// The task must not start elsewhere now.
         bool waits{false};
@@ -302,13 +302,15 @@
     /// Time until a task of the step must end for the job to meet its objective; nothing when it
     /// has none.
     std::optional<milliseconds> due_in(const job_entry& job, const step_spec& step) const;
-    /// A VM on the step's preferred rack, or whether the task waits for one. Precondition: the
-    /// request's step has a preferred rack, and waiting is enabled.
+    /// Where the task starts, if it does not wait for its rack. Precondition: the request's step
+    /// has a preferred rack, and waiting is enabled.
     near_choice choose_near(placement_request request, boot_time now);
-    /// Whether a place elsewhere is better for a filling task although the VM can take it.
-    bool is_much_slower(const vm_state& vm, const placement_request& request, near_places& places,
-                        boot_time now);
-    double best_speed(placement_request request, near_places& places, boot_time now);
+    /// The best VM that is not among the near places; null when none can take the task.
+    vm_state* choose_elsewhere(placement_request request, const near_places& places, boot_time now);
+    /// A VM elsewhere on which a filling task ends sooner than on `near`; null when there is none.
+    vm_state* faster_elsewhere(const vm_state& near, const placement_request& request,
+                               const near_places& places, boot_time now);
+    double speed_elsewhere(const placement_request& request, near_places& places, boot_time now);
     /// Whether the task waits for its rack, which has no room for it, or only room that `ahead`
     /// other tasks need more.
     bool waits_near(const placement_request& request, near_places& places, std::size_t ahead,
--- a/packages/core/source/job/job_scheduler_locality.cpp
+++ b/packages/core/source/job/job_scheduler_locality.cpp
@@ -100,10 +100,14 @@
     near_places& places = places_of(*request.job, *request.step, request.step->preferred_rack, now);
     request.candidates = &places.vms;
     vm_state* vm = places.full ? nullptr : placer_->choose(request, vms_, closed_domains_, now);
-    if (vm != nullptr &&
-        (vm->name == request.last_failed_vm || is_much_slower(*vm, request, places, now))) {
+    if (vm != nullptr && vm->name == request.last_failed_vm) {
         return {};
     }
+    if (vm != nullptr) {
+        if (vm_state* const faster = faster_elsewhere(*vm, request, places, now)) {
+            return {faster, false};
+        }
+    }
     if (vm == nullptr && !places.full) {
         // The VMs with room are excluded for this task alone, or run as many tasks of its step as
         // they may; the forecast does not cover this.
@@ -128,30 +132,52 @@
                                     run_times_.near_ratio(request.step->image).mean));
         return {vm, false};
     }
-    return {nullptr, waits_near(request, places, ahead, now)};
+    if (waits_near(request, places, ahead, now)) {
+        return {nullptr, true};
+    }
+    if (vm == nullptr) {
+        return {};
+    }
+    // The near place is left to another waiting task, which takes it in this pass.
+    vm_state* const elsewhere = choose_elsewhere(request, places, now);
+    return {elsewhere, elsewhere == nullptr};
 }
 
-bool job_scheduler::is_much_slower(const vm_state& vm, const placement_request& request,
-                                   near_places& places, boot_time now) {
+vm_state* job_scheduler::choose_elsewhere(placement_request request, const near_places& places,
+                                          boot_time now) {
+    request.candidates = nullptr;
+    for (const vm_state* const near : places.vms) {
+        request.excluded.insert(near->name);
+    }
+    return placer_->choose(request, vms_, closed_domains_, now);
+}
+
+vm_state* job_scheduler::faster_elsewhere(const vm_state& near, const placement_request& request,
+                                          const near_places& places, boot_time now) {
     if (!request.step->fills_idle_cpu) {
-        return false;
+        return nullptr;
     }
-    const double speed = expected_speed(vm, request);
-    const double factor =
+    const double least =
+        expected_speed(near, request) *
         run_times_.remote_factor(request.step->image, locality_.settings().remote_factor);
-    return speed * factor < 1.0 && speed * factor < best_speed(request, places, now);
+    if (least >= 1.0) {
+        return nullptr;
+    }
+    vm_state* const elsewhere = choose_elsewhere(request, places, now);
+    return elsewhere != nullptr && expected_speed(*elsewhere, request) > least ? elsewhere
+                                                                               : nullptr;
 }
 
-double job_scheduler::best_speed(placement_request request, near_places& places, boot_time now) {
+double job_scheduler::speed_elsewhere(const placement_request& request, near_places& places,
+                                      boot_time now) {
     if (!request.step->fills_idle_cpu) {
         return 1.0;
     }
-    if (!places.best_speed) {
-        request.candidates = nullptr;
-        const vm_state* const best = placer_->choose(request, vms_, closed_domains_, now);
-        places.best_speed = best == nullptr ? 0.0 : expected_speed(*best, request);
+    if (!places.speed_elsewhere) {
+        const vm_state* const best = choose_elsewhere(request, places, now);
+        places.speed_elsewhere = best == nullptr ? 0.0 : expected_speed(*best, request);
     }
-    return *places.best_speed;
+    return *places.speed_elsewhere;
 }
 
 bool job_scheduler::waits_near(const placement_request& request, near_places& places,
@@ -161,7 +187,7 @@
         return false;
     }
     wait_case known = wait_case_of(request);
-    const double speed = best_speed(request, places, now);
+    const double speed = speed_elsewhere(request, places, now);
     if (speed <= 0) {
         return false;
     }
--- a/packages/core/tests/job/near_place_test.cpp
+++ b/packages/core/tests/job/near_place_test.cpp
@@ -70,6 +70,50 @@
     CHECK(count_on(vms, vms.exchange(), "rack-0") == 2);
 }
 
+// Guards against filling tasks that start near their data although they would be so slow there that
+// they end sooner elsewhere.
+TEST_CASE("a filling task starts elsewhere when the near VMs are much slower") {
+    simulated_vms vms(4, 2, with_remote_factor(1.5));
+    vms.exchange();
+    job_spec crowded = make_near_job("crowded", 32, vms);
+    crowded.steps[0].fills_idle_cpu = true;
+    crowded.steps[0].estimate_ms = 60000;
+    vms.scheduler.add_job(crowded);
+    REQUIRE(count_on(vms, vms.exchange(), "rack-0") >= 24);
+    // A job without runs accepts a slow place while less than half of the processor time is
+    // reserved, here one at 0.6 of the full speed; elsewhere it runs at 0.67 of it.
+    job_spec filling = make_near_job("filling", 1, vms);
+    filling.steps[0].fills_idle_cpu = true;
+    filling.steps[0].estimate_ms = 1000;
+    vms.scheduler.add_job(filling);
+    CHECK(count_on(vms, vms.exchange(), "rack-1") == 1);
+}
+
+// Guards against a near place that goes to a job with time to spare, because it comes first in the
+// order of the pass, while another job misses its objective without that place.
+TEST_CASE("a near place that becomes free goes to the waiting task that needs it most") {
+    simulated_vms vms(4, 2, with_remote_factor(2.0));
+    vms.exchange();
+    const std::vector<start_order> filled = fill_rack(vms, 400);
+    job_spec urgent = make_near_job("urgent", 1, vms);
+    urgent.policy.slack_factor = 1.8;
+    vms.scheduler.add_job(urgent);
+    REQUIRE(vms.exchange().empty());
+    REQUIRE(count_of(vms, decision_kind::wait_begins) == 1);
+    // Its remote run of 600 ms would be in time, and its objective is the earlier one.
+    job_spec relaxed = make_near_job("relaxed", 1, vms);
+    relaxed.steps[0].estimate_ms = 300;
+    relaxed.policy.slack_factor = 1.0;
+    relaxed.policy.target_completion = milliseconds(1000);
+    vms.scheduler.add_job(relaxed);
+    end_one(vms, filled[0]);
+    for (const start_order& order : vms.exchange(milliseconds(4))) {
+        const bool near = vms.reports.at(vms.vm_of(order.run)).runner.rack == "rack-0";
+        CHECK(near == (order.run.task.job == "urgent"));
+    }
+    CHECK(vms.scheduler.near_wait_totals().ended_near == 1);
+}
+
 // Guards against a remote run of a task whose rack has room a few hundred milliseconds later.
 TEST_CASE("a task waits for its rack when a place there is free soon") {
     simulated_vms vms(4, 2, with_remote_factor(2.0));
