core: the forecast of a rack needs no divisions

Places are counted by adding the need of one more task instead of by dividing the available resources for each run.

--- a/packages/core/source/job/rack_forecast.cpp
+++ b/packages/core/source/job/rack_forecast.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <limits>
 
 namespace egretstile {
 
@@ -11,24 +10,6 @@
 /// Most places of one VM that are predicted.
 constexpr std::size_t max_places_of_vm = 128;
 
-/// Number of tasks that fit into `available`.
-std::size_t count_fitting(const place_need& need, const resources& available) {
-    const auto share = [](std::int64_t amount, std::int64_t needed) {
-        if (needed <= 0) {
-            return amount < 0 ? std::int64_t{0} : std::numeric_limits<std::int64_t>::max();
-        }
-        return std::max<std::int64_t>(amount, 0) / needed;
-    };
-    const std::int64_t count =
-        std::min({share(available.cpu_millicores, need.reserved.cpu_millicores),
-                  share(available.memory_mb, need.reserved.memory_mb),
-                  share(available.accelerators, need.reserved.accelerators)});
-    return std::min(static_cast<std::size_t>(count),
-                    need.max_per_vm == 0
-                        ? max_places_of_vm
-                        : std::min<std::size_t>(need.max_per_vm, max_places_of_vm));
-}
-
 } // namespace
 
 boot_time expected_end_of(const vm_run& run, boot_time now) {
@@ -71,17 +52,24 @@
               [](const expected_release& left, const expected_release& right) {
                   return left.at < right.at;
               });
+    const std::size_t most_places = need.max_per_vm == 0
+                                        ? max_places_of_vm
+                                        : std::min<std::size_t>(need.max_per_vm, max_places_of_vm);
     resources available = vm.runner.capacity - vm.reserved;
-    std::size_t places = count_fitting(need, available);
+    // What one more task needs together with those that fit already.
+    resources next_need = need.reserved;
+    std::size_t places = 0;
+    const auto add_fitting = [&](boot_time at) {
+        for (; places < most_places && fits(next_need, available); ++places) {
+            places_.push_back(at);
+            next_need = next_need + need.reserved;
+        }
+    };
+    add_fitting(now);
     free_places_ += places;
-    places_.insert(places_.end(), places, now);
     for (const expected_release& release : ends) {
         available = available + release.run->reserved;
-        const std::size_t fitting = count_fitting(need, available);
-        if (fitting > places) {
-            places_.insert(places_.end(), fitting - places, release.at);
-            places = fitting;
-        }
+        add_fitting(release.at);
     }
 }
 
