--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -253,7 +253,7 @@
 void job_scheduler::start_waiting_tasks(boot_time now, std::int64_t wall_ms) {
     unplaceable_.clear();
     half_idle_.clear();
-    std::map<std::string, std::int64_t> waiting_millicores;
+    std::set<std::string> contended;
     for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms, learned_run_times())) {
         job_entry* const job = rank.job;
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
@@ -266,35 +266,16 @@
                     continue;
                 }
                 const step_spec& step = job->spec.steps[s];
-                const std::size_t without_room =
+                const bool had_room =
                     step.gang ? start_gang(*job, k, s, now) : start_step(*job, k, s, now);
-                if (without_room > 0 && step.fills_idle_cpu && !step.long_running &&
+                if (!had_room && step.fills_idle_cpu && !step.long_running &&
                     rank.timely != timeliness::too_late) {
-                    waiting_millicores[job->policy.service] +=
-                        static_cast<std::int64_t>(without_room) * step.need.cpu_millicores;
+                    contended.insert(job->policy.service);
                 }
             }
         }
     }
-    update_contention(waiting_millicores);
-}
-
-void job_scheduler::update_contention(
-    const std::map<std::string, std::int64_t>& waiting_millicores) {
-    contended_services_.clear();
-    if (!settings_.place_by_contention || waiting_millicores.empty()) {
-        return;
-    }
-    std::map<std::string, std::int64_t> running_millicores;
-    for (const auto& [name, vm] : vms_) {
-        running_millicores[vm.runner.service] += vm.filling_millicores;
-    }
-    for (const auto& [service, millicores] : waiting_millicores) {
-        if (static_cast<double>(millicores) >=
-            settings_.contended_share * static_cast<double>(running_millicores[service])) {
-            contended_services_.insert(service);
-        }
-    }
+    contended_services_ = std::move(contended);
 }
 
 bool job_scheduler::is_contended(const std::string& service) const {
@@ -313,11 +294,10 @@
                                               : sharing_model{}.min_start_speed;
 }
 
-std::size_t job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
-                                      boot_time now) {
+bool job_scheduler::start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+                               boot_time now) {
     const std::set<std::uint32_t> waiting = job.occurrences[occurrence].steps[step].waiting;
     std::size_t refused = 0;
-    std::size_t waiting_near = 0;
     for (const std::uint32_t index : waiting) {
         const task_ref task{job.spec.id, occurrence, step, index};
         const job_task& state = *jobs_.find_task(task);
@@ -329,20 +309,18 @@
             begin_proof_wait(job, task, now);
             continue;
         }
-        const start_result result = start_task(job, task, now);
-        if (result != start_result::no_room) {
-            waiting_near += result == start_result::waits_near ? 1 : 0;
+        if (start_task(job, task, now) != start_result::no_room) {
             continue;
         }
         record_waiting_step(job, occurrence, step, now);
         if (!last_attempt) {
-            return job.occurrences[occurrence].steps[step].waiting.size() - waiting_near;
+            return false;
         }
         // Tasks with attempts to spare may start where this one must not.
         begin_proof_wait(job, task, now);
         ++refused;
     }
-    return 0;
+    return true;
 }
 
 void job_scheduler::record_waiting_step(job_entry& job, std::uint32_t occurrence,
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -5,16 +5,16 @@
 
 namespace egretstile {
 
-std::size_t job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
-                                      boot_time now) {
+bool job_scheduler::start_gang(job_entry& job, std::uint32_t occurrence, std::uint32_t step,
+                               boot_time now) {
     const step_state& state = job.occurrences[occurrence].steps[step];
     if (state.waiting.size() < state.tasks.size()) {
-        return 0; // Members of the previous run have not ended yet.
+        return true; // Members of the previous run have not ended yet.
     }
     attempt_number attempt = 0;
     for (const job_task& task : state.tasks) {
         if (task.retry_at > now || may_have_unreported_run(job, task)) {
-            return 0;
+            return true;
         }
         attempt = std::max(attempt, next_attempt(job, task.progress));
     }
@@ -25,14 +25,14 @@
     if (members.empty()) {
         const near_wait* const wait = locality_.find(first, wanted_rack);
         if (wait != nullptr && !wait->over) {
-            return 0; // Waits for a rack, not for room.
+            return true; // Waits for a rack, not for room.
         }
         locality_.renew_without_alternative(first, wanted_rack, now);
         record_waiting_step(job, occurrence, step, now);
         if (is_last_attempt(job, first)) {
             begin_proof_wait(job, first, now);
         }
-        return state.waiting.size();
+        return false;
     }
     for (const gang_member& member : members) {
         order_start(job, member.task, attempt, *member.vm, now);
@@ -42,7 +42,7 @@
             return member.vm->runner.rack == members.front().vm->runner.rack;
         });
     finish_wait(first, wanted_rack, on_one_rack ? wait_end::near : wait_end::remote, now);
-    return 0;
+    return true;
 }
 
 std::vector<job_scheduler::gang_member> job_scheduler::place_gang(const job_entry& job,
--- a/packages/core/source/job/job_scheduler_locality.cpp
+++ b/packages/core/source/job/job_scheduler_locality.cpp
@@ -168,6 +168,11 @@
     }
     // The near place is left to another waiting task, which takes it in this pass.
     vm_state* const elsewhere = choose_elsewhere(request, places, now);
+    if (elsewhere == nullptr && request.health.enabled) {
+        // The VM may refuse the other task for its health; leaving the place to it could last for
+        // ever when there is no other place.
+        return {vm, false};
+    }
     return {elsewhere, elsewhere == nullptr};
 }
 
