--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -4,7 +4,10 @@
 #include <egretstile/core/job/decision.hpp>
 #include <egretstile/core/job/job_explanation.hpp>
 #include <egretstile/core/job/job_table.hpp>
+#include <egretstile/core/job/locality_wait.hpp>
+#include <egretstile/core/job/rack_forecast.hpp>
 #include <egretstile/core/job/room_account.hpp>
+#include <egretstile/core/job/run_time_history.hpp>
 #include <egretstile/core/job/run_time_model.hpp>
 #include <egretstile/core/job/scheduler_messages.hpp>
 #include <egretstile/core/job/task_placer.hpp>
@@ -75,6 +78,11 @@
     bool track_runner_health{false};
     /// A task with one attempt left whose job is already late waits this long for a proven VM.
     milliseconds late_proof_wait{3000};
+    /// Factor by which a task takes longer away from the rack that holds its data; with 1, tasks
+    /// never wait for that rack.
+    double remote_factor{1.0};
+    /// Time that a task needs to resume from a checkpoint.
+    milliseconds restore_time{0};
 };
 
 /// Decides on the leader which task runs on which VM. Produces orders for agents and progress to be
@@ -124,6 +132,7 @@
     /// the VM and no report of it was applied since.
     void remove_vm(const vm_name& name) {
         vms_.erase(name);
+        forget_racks();
         health_.remove_vm(name);
     }
 
@@ -193,6 +202,9 @@
     /// VMs of earlier leaders that have not reported and may still run tasks.
     std::vector<vm_name> expected_vms() const;
 
+    /// Waits of tasks for the racks that hold their data, since this leader's start.
+    const wait_totals& near_wait_totals() const { return locality_.totals(); }
+
 private:
     /// Orders for one VM that were not returned by `take_orders` yet.
     struct outbox {
@@ -201,6 +213,36 @@
         std::vector<start_order> attributes;
     };
 
+    /// VMs of a rack that may take tasks of one kind once they have room, and when they will. The
+    /// forecast leaves out suspect VMs, which take single trials only.
+    struct near_places {
+        std::string service;
+        std::string label;
+        std::string image;
+        place_need need;
+        std::vector<vm_state*> vms;
+        rack_forecast forecast;
+        /// No VM had room for the latest task in this pass.
+        bool full{false};
+        /// Expected speed of a filling task at the best place elsewhere; nothing: not determined in
+        /// this pass.
+        std::optional<double> speed_elsewhere;
+    };
+
+    enum class start_result : std::uint8_t {
+        started,
+        no_room,
+        waits_near ///< The task waits for a place near its data.
+    };
+
+    /// Where a task with a preferred rack starts.
+    struct near_choice {
+        /// VM on which it starts, near its data or elsewhere; null: any.
+        vm_state* vm{nullptr};
+        /// The task must not start elsewhere now.
+        bool waits{false};
+    };
+
     /// A task of a gang and the VM on which it will start.
     struct gang_member {
         vm_state* vm{nullptr};
@@ -256,7 +298,8 @@
     /// Whether tasks may be started now; reports a change.
     bool check_starts_allowed(boot_time now);
     void start_waiting_tasks(boot_time now, std::int64_t wall_ms);
-    /// Starts tasks of the step. False when a task was not started for lack of room.
+    /// Starts tasks of the step. False when a task was not started for lack of room; tasks that wait
+    /// for a place near their data, or with one attempt left for a proven VM, are none of these.
     bool start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     /// Headroom that a filling task of the service has to leave to serving tasks.
     double placement_headroom(const std::string& service) const;
@@ -287,8 +330,56 @@
     std::vector<std::string> racks_by_free_cpu(const job_entry& job) const;
     /// Stops the remaining members of a gang's run, which cannot work without `missing`.
     void stop_other_gang_members(const job_entry& job, const task_attempt& missing, boot_time now);
-    /// Places the task and orders its start. False when no VM can take it.
-    bool start_task(job_entry& job, const task_ref& task, boot_time now);
+    /// Places the task and orders its start, unless it waits for a place near its data.
+    start_result start_task(job_entry& job, const task_ref& task, boot_time now);
+    /// Time until a task of the step must end for the job to meet its objective; nothing when it
+    /// has none.
+    std::optional<milliseconds> due_in(const job_entry& job, const step_spec& step) const;
+    /// Where the task starts, if it does not wait for its rack. Precondition: the request's step
+    /// has a preferred rack, and waiting is enabled.
+    near_choice choose_near(placement_request request, boot_time now);
+    /// Whether a near VM that is not suspect has room but must prove itself before it takes the
+    /// task, which the forecast does not cover.
+    bool refused_for_health(const placement_request& request, const near_places& places) const;
+    /// The best VM that is not among the near places; null when none can take the task.
+    vm_state* choose_elsewhere(placement_request request, const near_places& places, boot_time now);
+    /// A VM elsewhere on which a filling task ends sooner than on `near`; null when there is none.
+    vm_state* faster_elsewhere(const vm_state& near, const placement_request& request,
+                               const near_places& places, boot_time now);
+    double speed_elsewhere(const placement_request& request, near_places& places, boot_time now);
+    /// Whether the task waits for its rack, which has no room for it, or only room that `ahead`
+    /// other tasks need more.
+    bool waits_near(const placement_request& request, near_places& places, std::size_t ahead,
+                    boot_time now);
+    wait_case wait_case_of(const placement_request& request) const;
+    near_places& places_of(const job_entry& job, const step_spec& step, const std::string& rack,
+                           boot_time now);
+    /// Whether a gang that fits on none of the racks waits until one has the room.
+    bool gang_waits(const job_entry& job, const task_ref& first,
+                    const std::vector<std::string>& racks, boot_time now);
+    void record_wait_begin(const task_ref& task, const std::string& rack);
+    /// Ends the wait of a task that was started.
+    void finish_wait(const task_ref& task, const std::string& rack, wait_end end, boot_time now);
+    void record_wait_end(const task_ref& task, const near_wait& wait, std::string_view end,
+                         boot_time now);
+    /// Begins a pass over the waiting tasks.
+    void begin_locality_pass(boot_time now);
+    /// Updates when the run is expected to end. Precondition: the run is on the VM.
+    void expect_end(vm_state& vm, const task_attempt& run, const step_spec& step,
+                    std::uint32_t percent, boot_time now);
+    /// Learns from a run that is done.
+    void learn_run_time(const vm_state& vm, const job_entry& job, const ended_run& end,
+                        boot_time now);
+    /// Moves runs back to the rack that holds their data when they end sooner there.
+    void move_tasks_near(boot_time now);
+    bool move_task_near(const job_entry& job, const task_ref& task, boot_time now);
+
+    /// The VMs of a rack may have changed.
+    void forget_racks() {
+        racks_.clear();
+        near_places_.clear();
+    }
+
     void order_start(job_entry& job, const task_ref& task, attempt_number attempt, vm_state& vm,
                      boot_time now);
     attempt_number next_attempt(const job_entry& job, const task_progress& progress) const;
@@ -360,6 +451,12 @@
     /// Slopes that each VM's agent was sent on its present connection, by serving and filling
     /// image.
     std::map<vm_name, std::map<std::pair<std::string, std::string>, double>> sent_slopes_;
+    locality_wait locality_;
+    run_time_history run_time_history_;
+    /// VMs by rack; empty: to be filled when it is needed.
+    std::map<std::string, std::vector<vm_state*>> racks_;
+    /// Places by rack, as far as they were needed in the present pass.
+    std::map<std::string, std::vector<near_places>> near_places_;
 };
 
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -54,6 +54,8 @@
     std::vector<vm_name> failed_vms;
     /// Until when a task with one attempt left waits for a proven VM; nothing: it does not wait.
     std::optional<boot_time> proof_wait_until;
+    /// A run was stopped to move the task to the rack that holds its data; it is not moved again.
+    bool moved_near{false};
 };
 
 /// One step of one occurrence.
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -37,6 +37,10 @@
     vm_name last_failed_vm;
     /// What the task requires of the health of its VM.
     health_demand health;
+    /// VMs among which to choose; null: all.
+    const std::vector<vm_state*>* candidates{nullptr};
+    /// Racks that tasks with data there need room on; null: none.
+    const std::set<std::string>* wanted_racks{nullptr};
 };
 
 /// Chooses VMs for tasks. Implementations are not thread-safe.
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -26,11 +26,17 @@
     return "domain of " + vm;
 }
 
+/// Two VMs are on a rack.
+std::string rack_of(const vm_name& vm) {
+    return vm == "vm-0" || vm == "vm-1" ? "rack-0" : "rack-1";
+}
+
 runner_registration registration_of(const model_runner& runner) {
     runner_registration registration;
     registration.instance = runner.instance();
     registration.service = "service";
     registration.failure_domain = domain_of(runner.name());
+    registration.rack = rack_of(runner.name());
     registration.capacity = {runner_millicores, 100000, 0};
     registration.state = runner_state::ready;
     return registration;
@@ -277,15 +283,15 @@
     }
     const std::shared_ptr<leader> next = std::make_shared<leader>();
     next->stops_at_ms = std::numeric_limits<std::int64_t>::max();
-    const scheduler_settings settings = settings_;
     std::unique_ptr<task_placer> placer;
-    if (settings.place_by_contention) {
+    if (settings_.place_by_contention) {
         placer = std::make_unique<image_separating_placer>();
     } else {
         placer = std::make_unique<separating_placer>();
     }
-    next->scheduler = std::make_unique<job_scheduler>(settings, ++epoch_, std::move(placer),
-                                                      [](const decision&) {});
+    next->scheduler =
+        std::make_unique<job_scheduler>(settings_, ++epoch_, std::move(placer),
+                                        [this](const decision& made) { ++decisions_[made.kind]; });
     for (const auto& [id, job] : jobs_) {
         next->scheduler->add_job(job);
         if (cancelled_.count(id) != 0) {
--- a/packages/core/tests/job/model/cluster_model.hpp
+++ b/packages/core/tests/job/model/cluster_model.hpp
@@ -54,6 +54,9 @@
 
     std::size_t starts() const { return starts_; }
 
+    /// Decisions of all leaders.
+    const std::map<decision_kind, std::size_t>& decisions() const { return decisions_; }
+
 private:
     struct agent {
         std::unique_ptr<run_tracker> tracker;
@@ -94,6 +97,7 @@
     std::mt19937_64 random_;
     fault_rates fault_rates_;
     scheduler_settings settings_;
+    std::map<decision_kind, std::size_t> decisions_;
     std::int64_t now_ms_{1000};
     epoch_number epoch_{0};
     std::vector<std::unique_ptr<model_runner>> runners_;
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -154,6 +154,8 @@
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
+    settings.scheduler.remote_factor = settings_.remote_factor;
+    settings.scheduler.restore_time = settings_.restore_time;
     const bool health = has_contract_part(settings_.contract_parts, health_part);
     settings.scheduler.track_runner_health = health;
     settings.scheduler.place_by_contention = health;
@@ -348,6 +350,7 @@
         state.jobs = scheduler.job_count();
         state.unfinished_jobs = scheduler.jobs().unfinished().size();
         state.vms = scheduler.vms().size();
+        state.near_waits = scheduler.near_wait_totals();
         state.rooms = scheduler.account_room(boot_now());
     }
     state.config_version = config_version();
