core: a free near place is not left unused, waits end under runner health

Cause: a task whose wait was over left a free near place to a waiting task that the VM refused (its health demand, its image), and that wait was renewed as long as nothing else had room. Neither started: with runner health and waits together, jobs stayed unfinished in the property test. Now the place is taken when there is no other one, and with runner health a wait is not renewed.

--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -401,7 +401,11 @@
     vm_state* const vm =
         near.vm != nullptr ? near.vm : placer_->choose(request, vms_, closed_domains_, now);
     if (vm == nullptr) {
-        locality_.renew_without_alternative(task, request.step->preferred_rack, now);
+        // Tasks that wait ahead may be refused the near place for their health demand. Their waits
+        // must end then, or they would keep the place from all others for ever.
+        if (!request.health.enabled) {
+            locality_.renew_without_alternative(task, request.step->preferred_rack, now);
+        }
         if (request.health.enabled && !request.health.may_be_trial) {
             health_.note_waiting(job.policy.service, now);
         }
--- a/packages/core/source/job/job_scheduler_gangs.cpp
+++ b/packages/core/source/job/job_scheduler_gangs.cpp
@@ -27,7 +27,9 @@
         if (wait != nullptr && !wait->over) {
             return true; // Waits for a rack, not for room.
         }
-        locality_.renew_without_alternative(first, wanted_rack, now);
+        if (!settings_.track_runner_health) {
+            locality_.renew_without_alternative(first, wanted_rack, now);
+        }
         record_waiting_step(job, occurrence, step, now);
         if (is_last_attempt(job, first)) {
             begin_proof_wait(job, first, now);
--- a/packages/core/source/job/job_scheduler_locality.cpp
+++ b/packages/core/source/job/job_scheduler_locality.cpp
@@ -166,14 +166,10 @@
     if (vm == nullptr) {
         return {};
     }
-    // The near place is left to another waiting task, which takes it in this pass.
+    // The near place is left to another waiting task, unless there is no other place. The VM may
+    // refuse that task, and this one has waited as long as it may.
     vm_state* const elsewhere = choose_elsewhere(request, places, now);
-    if (elsewhere == nullptr && request.health.enabled) {
-        // The VM may refuse the other task for its health; leaving the place to it could last for
-        // ever when there is no other place.
-        return {vm, false};
-    }
-    return {elsewhere, elsewhere == nullptr};
+    return {elsewhere != nullptr ? elsewhere : vm, false};
 }
 
 bool job_scheduler::refused_for_health(const placement_request& request,
