--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -298,8 +298,9 @@
     /// Whether tasks may be started now; reports a change.
     bool check_starts_allowed(boot_time now);
     void start_waiting_tasks(boot_time now, std::int64_t wall_ms);
-    /// Starts tasks of the step. False when a task was not started for lack of room; tasks that wait
-    /// for a place near their data, or with one attempt left for a proven VM, are none of these.
+    /// Starts tasks of the step. False when a task was not started for lack of room; tasks that
+    /// wait for a place near their data, or with one attempt left for a proven VM, are none of
+    /// these.
     bool start_step(job_entry& job, std::uint32_t occurrence, std::uint32_t step, boot_time now);
     /// Headroom that a filling task of the service has to leave to serving tasks.
     double placement_headroom(const std::string& service) const;
@@ -408,9 +409,9 @@
     /// Begins the wait of a task with one attempt left for a proven VM, unless it has begun.
     void begin_proof_wait(job_entry& job, const task_ref& task, boot_time now);
     void note_runner_report(vm_state& vm, const vm_report& report, boot_time now);
-    void note_run_start(vm_state& vm, const task_attempt& run, boot_time now);
-    void note_run_dropped(vm_state& vm, const task_attempt& run, boot_time now);
-    void note_run_end(vm_state& vm, const ended_run& end, boot_time now);
+    void note_started(vm_state& vm, const task_attempt& run, boot_time now);
+    void note_dropped(vm_state& vm, const task_attempt& run, boot_time now);
+    void note_ended(vm_state& vm, const ended_run& end, boot_time now);
     /// Updates the health of a VM after its report was applied.
     void judge_health(vm_state& vm, const vm_report& report, boot_time now);
     void apply_health_changes(const std::vector<health_change>& changes);
--- a/packages/core/source/job/image_separating_placer.cpp
+++ b/packages/core/source/job/image_separating_placer.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 /// Cost to a serving task of each other serving image on the VM. Half of the largest gain by the
-/// share that serving tasks have reserved, so that a second image joins a VM that is mostly reserved
-/// and leaves an empty one to filling tasks that disturb every image, and a third image does not.
+/// share that serving tasks have reserved, so that a second image joins a VM that is mostly
+/// reserved and leaves an empty one to filling tasks that disturb every image, and a third image
+/// does not.
 constexpr double other_image_penalty = 0.5;
 
 double other_images(const vm_state& vm, const std::string& image) {
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -171,7 +171,7 @@
     record_decision(decision_kind::run_ended,
                     fields_of(end.run, vm.name) +
                         field("outcome", std::string(name_of(run_outcome_names, end.outcome))));
-    note_run_end(vm, end, now);
+    note_ended(vm, end, now);
     if (job == nullptr || task == nullptr) {
         vm.remove_run(end.run);
         return;
@@ -375,7 +375,7 @@
 void job_scheduler::release_run(vm_state& vm, const task_attempt& run, boot_time retry_at,
                                 boot_time now) {
     untrack_run(vm, run);
-    note_run_dropped(vm, run, now);
+    note_dropped(vm, run, now);
     job_entry* const job = jobs_.find(run.task.job);
     job_task* const task = jobs_.find_task(run.task);
     if (job != nullptr && task != nullptr) {
--- a/packages/core/source/job/job_scheduler_health.cpp
+++ b/packages/core/source/job/job_scheduler_health.cpp
@@ -71,7 +71,7 @@
     }
 }
 
-void job_scheduler::note_run_start(vm_state& vm, const task_attempt& run, boot_time now) {
+void job_scheduler::note_started(vm_state& vm, const task_attempt& run, boot_time now) {
     if (!settings_.track_runner_health) {
         return;
     }
@@ -84,14 +84,14 @@
     vm.health = health_.health_of(vm.name);
 }
 
-void job_scheduler::note_run_dropped(vm_state& vm, const task_attempt& run, boot_time now) {
+void job_scheduler::note_dropped(vm_state& vm, const task_attempt& run, boot_time now) {
     if (settings_.track_runner_health) {
         health_.note_dropped(vm.name, run, now);
         vm.health = health_.health_of(vm.name);
     }
 }
 
-void job_scheduler::note_run_end(vm_state& vm, const ended_run& end, boot_time now) {
+void job_scheduler::note_ended(vm_state& vm, const ended_run& end, boot_time now) {
     if (!settings_.track_runner_health) {
         return;
     }
