daemon, core: say why a connection between processes ended; count jobs without a confirmed start

"The connection to the leader closed." names the reason, the error number of the system and the bytes sent, received and left unsent; the leader writes the same as "The connection to an agent closed.". Gauges egretstile_unstarted_jobs and egretstile_ordered_jobs. No decision changes.

--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -79,6 +79,8 @@
 struct job_entry {
     job_spec spec;
     job_state state{job_state::queued};
+    /// A runner has listed a run of one of its tasks.
+    bool has_started{false};
     std::vector<occurrence_state> occurrences;
     /// Increases with each change that has to be stored.
     std::uint64_t version{0};
@@ -94,6 +96,13 @@
     milliseconds critical_path{0};
 };
 
+/// Numbers of unfinished jobs of which no task has started.
+struct unstarted_jobs {
+    std::size_t all{0};
+    /// Those with an ordered start that is neither confirmed nor rejected yet.
+    std::size_t ordered{0};
+};
+
 /// The leader's table of the jobs of the deployment. Not thread-safe.
 class job_table {
 public:
@@ -142,6 +151,12 @@
     /// Number of jobs of the queue that have no schedule and of which no task has started.
     std::size_t pending(const std::string& queue) const;
 
+    /// Unfinished jobs of which no task has started, scheduled ones included. Reads all unfinished
+    /// jobs, so it is meant for display.
+    unstarted_jobs count_unstarted() const;
+    /// The same for the jobs of the queue that have no schedule.
+    unstarted_jobs count_unstarted(const std::string& queue) const;
+
 private:
     std::map<job_id, std::unique_ptr<job_entry>> jobs_;
     std::set<job_entry*> unfinished_;
@@ -149,6 +164,9 @@
     std::deque<job_entry*> changed_;
 };
 
+/// Whether a run of one of the job's tasks is ordered or under way. Thread-safe.
+bool has_runs(const job_entry& job);
+
 /// Stored form of the job's progress. Thread-safe.
 job_progress progress_of(const job_entry& job);
 
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -176,6 +176,7 @@
         vm.remove_run(end.run);
         return;
     }
+    job->has_started = true;
     observe_run_time(*job, end, now);
     learn_run_time(vm, *job, end, now);
     untrack_run(vm, end.run);
@@ -249,6 +250,9 @@
 void job_scheduler::apply_active_runs(vm_state& vm, const vm_report& report, boot_time now) {
     for (const active_run& active : report.active) {
         apply_active_run(vm, active, now);
+        if (job_entry* const job = jobs_.find(active.run.task.job)) {
+            job->has_started = true;
+        }
         const tracked_run* const tracked = find_run(active.run);
         if (tracked != nullptr && tracked->vm == vm.name) {
             // A leader starts a task again only when its run has ended or lapsed, so no VM that has
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -111,19 +111,6 @@
     return std::chrono::duration_cast<milliseconds>(now - from).count();
 }
 
-bool has_runs(const job_entry& job) {
-    for (const occurrence_state& occurrence : job.occurrences) {
-        for (const step_state& step : occurrence.steps) {
-            for (const job_task& task : step.tasks) {
-                if (!task.runs.empty()) {
-                    return true;
-                }
-            }
-        }
-    }
-    return false;
-}
-
 /// `run_times` is null when tasks are expected to take as long as estimated.
 std::vector<job_rank> sorted_by_rank(const std::set<job_entry*>& jobs, std::int64_t wall_ms,
                                      const run_time_model* run_times) {
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -38,6 +38,13 @@
     return occurrence;
 }
 
+void count_unstarted_job(const job_entry& job, unstarted_jobs& counts) {
+    if (!job.has_started) {
+        ++counts.all;
+        counts.ordered += has_runs(job) ? 1 : 0;
+    }
+}
+
 } // namespace
 
 job_entry& job_table::add(const job_spec& spec, const queue_policy* policy) {
@@ -121,6 +128,7 @@
     if (std::exchange(state.progress.done, true)) {
         return;
     }
+    job.has_started = true;
     state.progress.checkpoint.clear();
     step.waiting.erase(task.index);
     if (++step.done_count == step.tasks.size()) {
@@ -198,6 +206,37 @@
         }));
 }
 
+unstarted_jobs job_table::count_unstarted() const {
+    unstarted_jobs counts;
+    for (const job_entry* const job : unfinished_) {
+        count_unstarted_job(*job, counts);
+    }
+    return counts;
+}
+
+unstarted_jobs job_table::count_unstarted(const std::string& queue) const {
+    unstarted_jobs counts;
+    for (const job_entry* const job : unfinished_) {
+        if (job->spec.queue == queue && job->spec.schedule.repetitions == 0) {
+            count_unstarted_job(*job, counts);
+        }
+    }
+    return counts;
+}
+
+bool has_runs(const job_entry& job) {
+    for (const occurrence_state& occurrence : job.occurrences) {
+        for (const step_state& step : occurrence.steps) {
+            for (const job_task& task : step.tasks) {
+                if (!task.runs.empty()) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
 job_progress progress_of(const job_entry& job) {
     job_progress progress;
     progress.state = job.state;
--- a/packages/daemon/source/jobs/job_entry_metrics.cpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.cpp
@@ -47,6 +47,11 @@
     , jobs_(metrics_.gauge("egretstile_jobs", "Jobs that this entry knows as the leader."))
     , unfinished_jobs_(
           metrics_.gauge("egretstile_unfinished_jobs", "Jobs of the leader without a final state."))
+    , unstarted_jobs_(metrics_.gauge("egretstile_unstarted_jobs",
+                                     "Unfinished jobs of which no task has started."))
+    , ordered_jobs_(
+          metrics_.gauge("egretstile_ordered_jobs",
+                         "Unstarted jobs with an ordered start that is not confirmed yet."))
     , vms_(metrics_.gauge("egretstile_leader_vms", "VMs on which this leader may start tasks."))
     , connections_(metrics_.gauge("egretstile_caller_connections", "Open connections of callers."))
     , dropped_log_lines_(
@@ -92,6 +97,8 @@
     longest_round_.Set(state.longest_round_seconds);
     jobs_.Set(static_cast<double>(state.jobs));
     unfinished_jobs_.Set(static_cast<double>(state.unfinished_jobs));
+    unstarted_jobs_.Set(static_cast<double>(state.unstarted.all));
+    ordered_jobs_.Set(static_cast<double>(state.unstarted.ordered));
     vms_.Set(static_cast<double>(state.vms));
     connections_.Set(static_cast<double>(state.connections));
     dropped_log_lines_.Set(static_cast<double>(state.dropped_log_lines));
--- a/packages/daemon/source/jobs/job_entry_metrics.hpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.hpp
@@ -5,6 +5,7 @@
 #include <egretstile/core/base/boot_time.hpp>
 #include <egretstile/core/base/name_table.hpp>
 #include <egretstile/core/job/decision.hpp>
+#include <egretstile/core/job/job_table.hpp>
 #include <egretstile/core/job/locality_wait.hpp>
 #include <egretstile/core/job/room_account.hpp>
 
@@ -52,6 +53,7 @@
     double longest_round_seconds{0};
     std::size_t jobs{0};
     std::size_t unfinished_jobs{0};
+    unstarted_jobs unstarted;
     std::size_t vms{0};
     std::size_t connections{0};
     std::uint64_t dropped_log_lines{0};
@@ -95,6 +97,8 @@
     prometheus::Gauge& longest_round_;
     prometheus::Gauge& jobs_;
     prometheus::Gauge& unfinished_jobs_;
+    prometheus::Gauge& unstarted_jobs_;
+    prometheus::Gauge& ordered_jobs_;
     prometheus::Gauge& vms_;
     prometheus::Gauge& connections_;
     prometheus::Gauge& dropped_log_lines_;
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -200,6 +200,8 @@
             return agent.second.lock().get() == &connection;
         });
     if (found != agents_.end()) {
+        write_log(log_part::leader, log_level::info, "The connection to an agent closed.",
+                  "vm=" + found->first + " " + connection.describe_end());
         agents_.erase(found);
     }
 }
@@ -349,6 +351,7 @@
         state.leader_epoch = leader_->epoch();
         state.jobs = scheduler.job_count();
         state.unfinished_jobs = scheduler.jobs().unfinished().size();
+        state.unstarted = scheduler.jobs().count_unstarted();
         state.vms = scheduler.vms().size();
         state.near_waits = scheduler.near_wait_totals();
         state.rooms = scheduler.account_room(boot_now());
--- a/packages/daemon/source/jobs/leader_link.cpp
+++ b/packages/daemon/source/jobs/leader_link.cpp
@@ -49,9 +49,9 @@
         last_message_at_ = boot_now();
         handlers_.on_message(std::move(message));
     };
-    callbacks.on_closed = [fields](frame_connection& /*connection*/) {
+    callbacks.on_closed = [fields](frame_connection& connection) {
         write_log(log_part::leader, log_level::info, "The connection to the leader closed.",
-                  fields);
+                  fields + " " + connection.describe_end());
     };
     client_ = std::make_unique<frame_client>(loop_, leader_->address, peer_key, own_hello_,
                                              std::move(callbacks));
--- a/packages/daemon/source/net/frame_connection.cpp
+++ b/packages/daemon/source/net/frame_connection.cpp
@@ -69,11 +69,24 @@
     socket_.close();
 }
 
+void frame_connection::note_end(connection_end reason, int error_number) {
+    end_ = reason;
+    end_error_ = error_number;
+    unsent_bytes_ = queued_bytes();
+}
+
+std::string frame_connection::describe_end() const {
+    return "reason=" + std::string(name_of(connection_end_names, end_)) +
+           " error=" + std::to_string(end_error_) + " sent=" + std::to_string(bytes_sent_) +
+           " received=" + std::to_string(bytes_received_) +
+           " unsent=" + std::to_string(unsent_bytes_);
+}
+
 void frame_connection::handle_ready(int mode) {
     // The callbacks may release the last other reference to this object.
     const std::shared_ptr<frame_connection> self = shared_from_this();
     if (!closed_ && (mode & Poco::Net::PollSet::POLL_ERROR) != 0) {
-        fail();
+        fail(connection_end::socket_failed, socket_.impl()->socketError());
         return;
     }
     if (!closed_ && (mode & Poco::Net::PollSet::POLL_WRITE) != 0) {
@@ -91,12 +104,12 @@
         received = socket_.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
     } catch (const Poco::TimeoutException&) {
         return;
-    } catch (const Poco::Exception&) {
-        fail();
+    } catch (const Poco::Exception& error) {
+        fail(connection_end::receive_failed, error.code());
         return;
     }
     if (received == 0) {
-        fail();
+        fail(connection_end::closed_by_peer);
         return;
     }
     if (received < 0) {
@@ -116,7 +129,7 @@
     if (!closed_ && !peer_ && bytes_received_ > max_handshake_bytes) {
         write_log(log_part::net, log_level::warning,
                   "Closed a connection: its handshake is too long.", "");
-        fail();
+        fail(connection_end::no_hello);
     }
 }
 
@@ -153,7 +166,7 @@
                       "Closed a connection after an invalid frame.",
                       "error=" + std::string(name_of(wire::frame_error_names, *error)) +
                           " peer=" + (peer_ ? peer_->name : "unauthenticated"));
-            fail();
+            fail(connection_end::invalid_frame);
             return;
         }
         wire::message& message = std::get<wire::message>(*next);
@@ -168,7 +181,7 @@
 void frame_connection::process_hello(const wire::message& message) {
     const wire::hello* const hello = std::get_if<wire::hello>(&message);
     if (hello == nullptr) {
-        fail();
+        fail(connection_end::no_hello);
         return;
     }
     peer_ = *hello;
@@ -183,8 +196,8 @@
             written = socket_.sendBytes(unsent.data(), static_cast<int>(unsent.size()));
         } catch (const Poco::TimeoutException&) {
             written = 0;
-        } catch (const Poco::Exception&) {
-            fail_deferred();
+        } catch (const Poco::Exception& error) {
+            fail_deferred(connection_end::send_failed, error.code());
             return;
         }
         if (written <= 0) {
@@ -212,7 +225,8 @@
 
 /// Calls `on_closed` from the event loop and not from within `send`, because the caller of `send`
 /// may hold references into state that the callback changes.
-void frame_connection::fail_deferred() {
+void frame_connection::fail_deferred(connection_end reason, int error_number) {
+    note_end(reason, error_number);
     close();
     const std::weak_ptr<frame_connection> self = weak_from_this();
     loop_.post([self] {
@@ -222,10 +236,11 @@
     });
 }
 
-void frame_connection::fail() {
+void frame_connection::fail(connection_end reason, int error_number) {
     if (closed_) {
         return;
     }
+    note_end(reason, error_number);
     close();
     handlers_.on_closed(*this);
 }
--- a/packages/daemon/source/net/frame_connection.hpp
+++ b/packages/daemon/source/net/frame_connection.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <egretstile/core/base/name_table.hpp>
 #include <egretstile/runtime/net/event_loop.hpp>
 #include <egretstile/wire/frame/frame_codec.hpp>
 #include <egretstile/wire/message/messages.hpp>
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,6 +17,26 @@
 
 namespace egretstile::daemon {
 
+/// Why a connection ended without having been closed by this process.
+enum class connection_end : std::uint8_t {
+    none,           ///< It is open, or this process closed it.
+    closed_by_peer, ///< The peer ended it in the regular way.
+    socket_failed,
+    receive_failed,
+    send_failed,
+    invalid_frame,
+    no_hello, ///< The peer did not introduce itself within the bounds of the handshake.
+};
+
+inline constexpr std::array<enum_name<connection_end>, 7> connection_end_names{
+    {{connection_end::none, "none"},
+     {connection_end::closed_by_peer, "closed_by_peer"},
+     {connection_end::socket_failed, "socket_failed"},
+     {connection_end::receive_failed, "receive_failed"},
+     {connection_end::send_failed, "send_failed"},
+     {connection_end::invalid_frame, "invalid_frame"},
+     {connection_end::no_hello, "no_hello"}}};
+
 /// An authenticated connection to another process of the deployment. Each side first sends a nonce.
 /// Every following frame carries a MAC, with keys derived from both nonces, and the first message
 /// of each side is `hello`. For the event loop's thread only.
@@ -59,6 +82,10 @@
 
     std::uint64_t bytes_sent() const { return bytes_sent_; }
 
+    /// Why the connection ended, as fields of a log line, with the system's error number and the
+    /// amounts that were transferred and left unsent.
+    std::string describe_end() const;
+
     /// Closes without calling `on_closed`.
     void close();
 
@@ -70,8 +97,9 @@
     void process_hello(const wire::message& message);
     void write_pending();
     void update_mode();
-    void fail();
-    void fail_deferred();
+    void fail(connection_end reason, int error_number = 0);
+    void fail_deferred(connection_end reason, int error_number);
+    void note_end(connection_end reason, int error_number);
 
     event_loop& loop_;
     Poco::Net::StreamSocket socket_;
@@ -88,6 +116,11 @@
     std::size_t output_offset_{0};
     std::uint64_t bytes_received_{0};
     std::uint64_t bytes_sent_{0};
+    connection_end end_{connection_end::none};
+    /// Error number of the system; zero: none.
+    int end_error_{0};
+    /// Bytes that were queued when the connection ended.
+    std::size_t unsent_bytes_{0};
     bool wants_write_{true};
     bool closed_{false};
 };
