--- a/packages/core/tests/job/job_scheduler_property_test.cpp
+++ b/packages/core/tests/job/job_scheduler_property_test.cpp
@@ -69,6 +69,25 @@
     }
 }
 
+// Guards against callers that are told of fewer waiting jobs than wait, or of jobs that run before
+// any task of them has started, while starts are lost, refused and carried out late.
+TEST_CASE("a job counts as waiting until a runner begins a task of it, under all faults") {
+    for (std::uint64_t round = 0; round < 20; ++round) {
+        const std::uint64_t seed = test_seed() + 4000 + round;
+        std::mt19937_64 random(seed);
+        cluster_model cluster(seed, {});
+        for (std::uint64_t number = 0; number < 25; ++number) {
+            cluster.submit(two_step_job(number, random));
+            cluster.run(milliseconds(800), true);
+        }
+        const std::vector<std::string> miscounted = cluster.miscounted_jobs();
+        INFO("seed " << seed << ", " << miscounted.size()
+                     << " times, first: " << (miscounted.empty() ? "none" : miscounted.front()));
+        CHECK(miscounted.empty());
+        REQUIRE(cluster.starts() > 25);
+    }
+}
+
 // Guards against accepted jobs that are lost or never done after the faults have ended.
 TEST_CASE("all jobs are done after the faults have ended") {
     for (std::uint64_t round = 0; round < 20; ++round) {
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -121,6 +121,7 @@
         leaders_.pop_front();
     }
     check_capacity();
+    check_unstarted_jobs();
 }
 
 void cluster_model::step_agent(const vm_name& name) {
@@ -349,6 +350,7 @@
 
 void cluster_model::check_start(const task_attempt& run, const vm_name& vm) {
     ++starts_;
+    started_jobs_.insert(run.task.job);
     const std::string what = to_string(run.task) + " attempt " + std::to_string(run.attempt) +
                              " on " + vm + " at " + std::to_string(now_ms_);
     for (const std::unique_ptr<model_runner>& other : runners_) {
@@ -399,6 +401,26 @@
     }
 }
 
+void cluster_model::check_unstarted_jobs() {
+    std::map<std::string, std::size_t> waiting;
+    for (const auto& [id, job] : jobs_) {
+        if (started_jobs_.count(id) != 0 || cancelled_.count(id) != 0) {
+            continue;
+        }
+        ++waiting[job.queue];
+        if (state_of(id) != job_state::queued) {
+            miscounted_jobs_.push_back(id + " shown as begun at " + std::to_string(now_ms_));
+        }
+    }
+    for (const auto& [queue, count] : waiting) {
+        const std::size_t shown = leaders_.back()->scheduler->pending(queue);
+        if (shown < count) {
+            miscounted_jobs_.push_back(std::to_string(shown) + " of " + std::to_string(count) +
+                                       " waiting jobs shown at " + std::to_string(now_ms_));
+        }
+    }
+}
+
 bool cluster_model::happens(double per_second) {
     const double chance = per_second * static_cast<double>(step_ms) / 1000.0;
     return std::uniform_real_distribution<double>(0, 1)(random_) < chance;
--- a/packages/core/tests/job/model/cluster_model.hpp
+++ b/packages/core/tests/job/model/cluster_model.hpp
@@ -50,6 +50,10 @@
 
     std::vector<std::string> violations() const { return violations_; }
 
+    /// Jobs that were missing from the number of waiting ones, or shown as begun, while no task of
+    /// them had started.
+    std::vector<std::string> miscounted_jobs() const { return miscounted_jobs_; }
+
     std::optional<job_state> state_of(const job_id& id) const;
 
     std::size_t starts() const { return starts_; }
@@ -92,6 +96,7 @@
     void change_closures();
     void check_start(const task_attempt& run, const vm_name& vm);
     void check_capacity();
+    void check_unstarted_jobs();
     model_runner& runner(const vm_name& name);
 
     std::mt19937_64 random_;
@@ -119,6 +124,8 @@
     /// Whether the start in progress is one that its runner carries out late.
     bool start_is_late_{false};
     std::vector<std::string> violations_;
+    std::vector<std::string> miscounted_jobs_;
+    std::set<job_id> started_jobs_;
     std::size_t starts_{0};
 };
 
