--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -96,6 +96,15 @@
     milliseconds critical_path{0};
 };
 
+/// Orders jobs by id, so that decisions do not depend on where jobs are in memory.
+struct job_id_order {
+    bool operator()(const job_entry* left, const job_entry* right) const {
+        return left->spec.id < right->spec.id;
+    }
+};
+
+using job_set = std::set<job_entry*, job_id_order>;
+
 /// Numbers of unfinished jobs of which no task has started.
 struct unstarted_jobs {
     std::size_t all{0};
@@ -123,8 +132,8 @@
     /// Null when the task does not exist.
     job_task* find_task(const task_ref& task);
 
-    /// Jobs that are not final, in no particular order.
-    const std::set<job_entry*>& unfinished() const { return unfinished_; }
+    /// Jobs that are not final.
+    const job_set& unfinished() const { return unfinished_; }
 
     /// Marks a task as done. Does nothing when it is already done. Precondition: the task exists.
     void mark_done(job_entry& job, const task_ref& task);
@@ -159,7 +168,7 @@
 
 private:
     std::map<job_id, std::unique_ptr<job_entry>> jobs_;
-    std::set<job_entry*> unfinished_;
+    job_set unfinished_;
     /// Jobs that are not stored in their latest version, oldest change first.
     std::deque<job_entry*> changed_;
 };
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -112,7 +112,7 @@
 }
 
 /// `run_times` is null when tasks are expected to take as long as estimated.
-std::vector<job_rank> sorted_by_rank(const std::set<job_entry*>& jobs, std::int64_t wall_ms,
+std::vector<job_rank> sorted_by_rank(const job_set& jobs, std::int64_t wall_ms,
                                      const run_time_model* run_times) {
     std::vector<job_rank> ranks;
     ranks.reserve(jobs.size());
