core: a job waits until a runner has listed a run of it

Cause: the leader set the state of a job to running when it ordered the first start, and an order that was rejected, given up or lost did not set it back.

The state now follows what runners have listed, as active or as ended: nothing else shows a start. Unanswered starts that a new leader adopts no longer count as listed either. The first start is marked for storing with the checkpoints (within 1 s), so that a job that has started stays so for the next leader, and nothing that was only ordered is stored as running. job-explain shows whether a run is listed.

--- a/packages/core/include/egretstile/core/job/job_explanation.hpp
+++ b/packages/core/include/egretstile/core/job/job_explanation.hpp
@@ -43,6 +43,8 @@
     vm_name vm;
     std::uint32_t percent{0};
     bool stopping{false};
+    /// The runner has listed the run; otherwise its start is only ordered.
+    bool listed{false};
 };
 
 struct step_explanation {
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -261,6 +261,10 @@
     void observe_run_time(const job_entry& job, const ended_run& end, boot_time now);
     void apply_failure(vm_state& vm, job_entry& job, const ended_run& end, boot_time now);
     void apply_active_runs(vm_state& vm, const vm_report& report, boot_time now);
+    /// Tracks a run that the agent reports as active or starting, unless it is tracked. Null when
+    /// the run is stopped instead, because its task must not run there.
+    tracked_run* adopt_run(vm_state& vm, const task_attempt& run, std::uint32_t percent,
+                           boot_time now);
     void apply_active_run(vm_state& vm, const active_run& active, boot_time now);
     void apply_rejected_runs(vm_state& vm, const vm_report& report, boot_time now);
     void stop_missing_runs(vm_state& vm, const vm_report& report, boot_time now);
@@ -289,8 +293,9 @@
     /// A VM other than `present` that can take the task now; null when there is none.
     vm_state* alternative_vm(const job_entry& job, const task_ref& task, const vm_name& present,
                              boot_time now);
-    /// Marks jobs with new checkpoints of running tasks as changed, so that they are stored.
-    void mark_new_checkpoints();
+    /// Marks jobs that have started, or have new checkpoints of running tasks, as changed, so that
+    /// they are stored.
+    void mark_new_progress();
     /// The permission to give in answer to the VM's last report, counted from that report.
     milliseconds permission_for(const vm_state& vm) const;
     /// Until when tasks may be started by the closed domains as they were last confirmed.
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -27,7 +27,7 @@
     boot_time started_at{};
     /// Started by this leader without a checkpoint, so that `started_at` is the start of the task.
     bool runs_whole_task{false};
-    /// The agent has reported the run as active or starting.
+    /// The runner has listed the run as active. Before that, its start may have been lost.
     bool was_listed{false};
     /// A stop has been ordered.
     bool stopping{false};
@@ -78,16 +78,16 @@
 /// A job and its state on the leader.
 struct job_entry {
     job_spec spec;
+    /// `queued` until a runner has listed a run of one of its tasks: an order alone starts nothing.
     job_state state{job_state::queued};
-    /// A runner has listed a run of one of its tasks.
-    bool has_started{false};
     std::vector<occurrence_state> occurrences;
     /// Increases with each change that has to be stored.
     std::uint64_t version{0};
     /// Latest version that is stored.
     std::uint64_t stored_version{0};
-    /// A running task has a checkpoint for which `version` was not increased yet.
-    bool has_new_checkpoint{false};
+    /// A running task has a checkpoint, or the job has started, and `version` was not increased for
+    /// it yet.
+    bool has_unmarked_progress{false};
     /// When the final state was stored or, after a change of the leader, restored; nothing before.
     std::optional<boot_time> final_at;
     /// The queue's latest policy, kept when the queue is removed.
@@ -135,6 +135,9 @@
     /// Jobs that are not final.
     const job_set& unfinished() const { return unfinished_; }
 
+    /// Records that a runner has begun a task of the job, which is stored together with the next
+    /// checkpoints. Does nothing when that is known.
+    static void mark_started(job_entry& job);
     /// Marks a task as done. Does nothing when it is already done. Precondition: the task exists.
     void mark_done(job_entry& job, const task_ref& task);
     /// Puts the job into a final state, unless it is already in one. Precondition: `state` is
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -176,7 +176,7 @@
         vm.remove_run(end.run);
         return;
     }
-    job->has_started = true;
+    job_table::mark_started(*job);
     observe_run_time(*job, end, now);
     learn_run_time(vm, *job, end, now);
     untrack_run(vm, end.run);
@@ -251,7 +251,7 @@
     for (const active_run& active : report.active) {
         apply_active_run(vm, active, now);
         if (job_entry* const job = jobs_.find(active.run.task.job)) {
-            job->has_started = true;
+            job_table::mark_started(*job);
         }
         const tracked_run* const tracked = find_run(active.run);
         if (tracked != nullptr && tracked->vm == vm.name) {
@@ -262,48 +262,56 @@
     }
     for (const task_attempt& starting : report.starting) {
         if (vm.runs.count(starting) == 0) {
-            apply_active_run(vm, {starting, "", 0, 0}, now);
+            adopt_run(vm, starting, 0, now);
         }
     }
 }
 
-void job_scheduler::apply_active_run(vm_state& vm, const active_run& active, boot_time now) {
-    job_entry* const job = jobs_.find(active.run.task.job);
-    job_task* const task = jobs_.find_task(active.run.task);
+tracked_run* job_scheduler::adopt_run(vm_state& vm, const task_attempt& run, std::uint32_t percent,
+                                      boot_time now) {
+    job_entry* const job = jobs_.find(run.task.job);
+    job_task* const task = jobs_.find_task(run.task);
     if (job == nullptr || task == nullptr) {
-        record_decision(decision_kind::stop_unknown_run, fields_of(active.run, vm.name));
-        outboxes_[vm.name].stops.push_back(active.run);
-        return;
+        record_decision(decision_kind::stop_unknown_run, fields_of(run, vm.name));
+        outboxes_[vm.name].stops.push_back(run);
+        return nullptr;
     }
-    const step_spec& step = step_of(*job, active.run.task);
-    task->progress.last_attempt = std::max(task->progress.last_attempt, active.run.attempt);
-    const bool new_here = vm.runs.count(active.run) == 0;
-    vm.add_run(active.run, needs_of(step));
-    tracked_run* tracked = find_run(active.run);
-    if (new_here || (tracked != nullptr && active.percent > tracked->percent)) {
-        expect_end(vm, active.run, step, active.percent, now);
+    const step_spec& step = step_of(*job, run.task);
+    task->progress.last_attempt = std::max(task->progress.last_attempt, run.attempt);
+    const bool new_here = vm.runs.count(run) == 0;
+    vm.add_run(run, needs_of(step));
+    tracked_run* tracked = find_run(run);
+    if (new_here || (tracked != nullptr && percent > tracked->percent)) {
+        expect_end(vm, run, step, percent, now);
     }
     const bool should_run = !is_final(job->state) && !task->progress.done;
     if (tracked == nullptr && should_run && (task->runs.empty() || step.speculative)) {
-        task->runs.push_back({active.run.attempt, vm.name});
+        task->runs.push_back({run.attempt, vm.name});
         tracked = &task->runs.back();
         tracked->started_at = now;
         tracked->progressed_at = now;
-        job->occurrences[active.run.task.occurrence].steps[active.run.task.step].waiting.erase(
-            active.run.task.index);
-        if (job->state == job_state::queued) {
-            job->state = job_state::running;
-        }
+        job->occurrences[run.task.occurrence].steps[run.task.step].waiting.erase(run.task.index);
     }
     if (new_here && tracked == nullptr && should_run) {
         record_decision(decision_kind::second_run,
-                        fields_of(active.run, vm.name) + field("other_vm", task->runs.front().vm) +
+                        fields_of(run, vm.name) + field("other_vm", task->runs.front().vm) +
                             field("other_attempt", std::to_string(task->runs.front().attempt)));
     }
     if (tracked == nullptr || tracked->vm != vm.name || !should_run) {
-        order_stop(vm, active.run, now);
+        order_stop(vm, run, now);
+        return nullptr;
+    }
+    return tracked;
+}
+
+void job_scheduler::apply_active_run(vm_state& vm, const active_run& active, boot_time now) {
+    tracked_run* const tracked = adopt_run(vm, active.run, active.percent, now);
+    if (tracked == nullptr) {
         return;
     }
+    job_entry* const job = jobs_.find(active.run.task.job);
+    job_task* const task = jobs_.find_task(active.run.task);
+    const step_spec& step = step_of(*job, active.run.task);
     if (active.percent > tracked->percent || !tracked->was_listed) {
         tracked->progressed_at = now;
     }
@@ -311,7 +319,7 @@
     tracked->percent = active.percent;
     if (!active.checkpoint.empty() && active.checkpoint != task->progress.checkpoint) {
         task->progress.checkpoint = active.checkpoint;
-        job->has_new_checkpoint = true;
+        job->has_unmarked_progress = true;
     }
     if (!std::exchange(tracked->attributes_known, true) &&
         (step.fills_idle_cpu || step.target_latency_ms > 0)) {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -152,7 +152,7 @@
     move_off_draining_vms(now);
     if (now >= checkpoints_marked_at_ + settings_.checkpoint_interval) {
         checkpoints_marked_at_ = now;
-        mark_new_checkpoints();
+        mark_new_progress();
     }
     if (!check_starts_allowed(now)) {
         return;
@@ -186,9 +186,9 @@
     return allowed;
 }
 
-void job_scheduler::mark_new_checkpoints() {
+void job_scheduler::mark_new_progress() {
     for (job_entry* const job : jobs_.unfinished()) {
-        if (std::exchange(job->has_new_checkpoint, false)) {
+        if (job->has_unmarked_progress) {
             jobs_.mark_changed(*job);
         }
     }
@@ -428,9 +428,6 @@
     state.runs.push_back(run);
     state.progress.last_attempt = std::max(state.progress.last_attempt, attempt);
     job.occurrences[task.occurrence].steps[task.step].waiting.erase(task.index);
-    if (job.state == job_state::queued) {
-        job.state = job_state::running;
-    }
     start_order order = attributes_of(job, {task, attempt});
     order.payload = job.spec.payload;
     order.checkpoint = state.progress.checkpoint;
--- a/packages/core/source/job/job_scheduler_explanation.cpp
+++ b/packages/core/source/job/job_scheduler_explanation.cpp
@@ -37,7 +37,8 @@
     for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
         const task_ref task{job.spec.id, occurrence, step, index};
         for (const tracked_run& run : state.tasks[index].runs) {
-            result.running.push_back({task, run.attempt, run.vm, run.percent, run.stopping});
+            result.running.push_back(
+                {task, run.attempt, run.vm, run.percent, run.stopping, run.was_listed});
         }
     }
     if (state.waiting.empty() || is_final(job.state)) {
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -39,7 +39,7 @@
 }
 
 void count_unstarted_job(const job_entry& job, unstarted_jobs& counts) {
-    if (!job.has_started) {
+    if (job.state == job_state::queued) {
         ++counts.all;
         counts.ordered += has_runs(job) ? 1 : 0;
     }
@@ -121,6 +121,13 @@
     return &occurrence.steps[task.step].tasks[task.index];
 }
 
+void job_table::mark_started(job_entry& job) {
+    if (job.state == job_state::queued) {
+        job.state = job_state::running;
+        job.has_unmarked_progress = true;
+    }
+}
+
 void job_table::mark_done(job_entry& job, const task_ref& task) {
     occurrence_state& occurrence = job.occurrences[task.occurrence];
     step_state& step = occurrence.steps[task.step];
@@ -128,15 +135,12 @@
     if (std::exchange(state.progress.done, true)) {
         return;
     }
-    job.has_started = true;
+    mark_started(job);
     state.progress.checkpoint.clear();
     step.waiting.erase(task.index);
     if (++step.done_count == step.tasks.size()) {
         ++occurrence.done_steps;
     }
-    if (job.state == job_state::queued) {
-        job.state = job_state::running;
-    }
     mark_changed(job);
 }
 
@@ -155,6 +159,7 @@
 }
 
 void job_table::mark_changed(job_entry& job) {
+    job.has_unmarked_progress = false;
     if (job.version == job.stored_version) {
         changed_.push_back(&job);
     }
--- a/packages/core/tests/job/job_scheduler_test.cpp
+++ b/packages/core/tests/job/job_scheduler_test.cpp
@@ -150,6 +150,8 @@
     one_vm vm;
     vm.scheduler.add_job(make_job("job", 1, 1000));
     vm.exchange();
+    CHECK(vm.scheduler.visible_state("job") == job_state::queued);
+    vm.exchange();
     for (int attempt = 0; attempt < 2; ++attempt) {
         CHECK(vm.scheduler.visible_state("job") == job_state::running);
         REQUIRE(vm.report.active.size() == 1);
--- a/packages/daemon/source/jobs/state_page.cpp
+++ b/packages/daemon/source/jobs/state_page.cpp
@@ -117,6 +117,7 @@
     object->set("vm", run.vm);
     object->set("percent", run.percent);
     object->set("stopping", run.stopping);
+    object->set("listed", run.listed);
     return object;
 }
 
