runtime, daemon: a full send buffer does not close a connection

Cause: POCO 1.11 throws when the send buffer of a socket that does not block is full, and frame_connection took that for a lost connection. Twenty starts with payloads of 4,000 bytes exceed the buffer of a link with small windows.

The HTTP server had the same code and closed connections of clients that read slowly, in the middle of the response; the HTTP client already looked for EAGAIN. All three now use send_available, the only place that calls sendBytes for connections: zero means that the rest waits until the socket is writable.

--- a/packages/daemon/source/net/frame_connection.cpp
+++ b/packages/daemon/source/net/frame_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/frame_connection.hpp"
 
+#include <egretstile/runtime/net/socket_output.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 
 #include <Poco/Exception.h>
@@ -190,21 +191,18 @@
 
 void frame_connection::write_pending() {
     while (output_offset_ < output_.size()) {
-        int written = 0;
+        std::size_t sent = 0;
         try {
-            const std::string_view unsent = std::string_view(output_).substr(output_offset_);
-            written = socket_.sendBytes(unsent.data(), static_cast<int>(unsent.size()));
-        } catch (const Poco::TimeoutException&) {
-            written = 0;
+            sent = send_available(socket_, std::string_view(output_).substr(output_offset_));
         } catch (const Poco::Exception& error) {
             fail_deferred(connection_end::send_failed, error.code());
             return;
         }
-        if (written <= 0) {
+        if (sent == 0) {
             break;
         }
-        output_offset_ += static_cast<std::size_t>(written);
-        bytes_sent_ += static_cast<std::uint64_t>(written);
+        output_offset_ += sent;
+        bytes_sent_ += sent;
     }
     if (output_offset_ == output_.size()) {
         output_.clear();
--- a/packages/runtime/source/http/http_client.cpp
+++ b/packages/runtime/source/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 #include <egretstile/runtime/http/http_client.hpp>
+#include <egretstile/runtime/net/socket_output.hpp>
 #include <egretstile/runtime/telemetry/log.hpp>
 
 #include <Poco/Exception.h>
@@ -155,21 +156,18 @@
 
     void write_pending() {
         while (sent_ < output_.size()) {
-            int written = 0;
+            std::size_t sent = 0;
             try {
-                const std::string_view rest = std::string_view(output_).substr(sent_);
-                written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
+                sent = send_available(socket_, std::string_view(output_).substr(sent_));
             } catch (const Poco::Exception& error) {
-                if (error.code() != EAGAIN) {
-                    first_error_ = kind_of(error.code());
-                    fail_later();
-                    return;
-                }
+                first_error_ = kind_of(error.code());
+                fail_later();
+                return;
             }
-            if (written <= 0) {
+            if (sent == 0) {
                 break;
             }
-            sent_ += static_cast<std::size_t>(written);
+            sent_ += sent;
             last_progress_ = boot_now();
         }
         const bool wants_write = sent_ < output_.size();
--- a/packages/runtime/source/http/http_server_output.cpp
+++ b/packages/runtime/source/http/http_server_output.cpp
@@ -1,5 +1,7 @@
 #include "http/http_server_connection.hpp"
 
+#include <egretstile/runtime/net/socket_output.hpp>
+
 #include <Poco/Exception.h>
 
 #include <string_view>
@@ -78,20 +80,17 @@
 
 void http_server_connection::write_pending() {
     while (sent_ < output_.size()) {
-        int written = 0;
+        std::size_t sent = 0;
         try {
-            const std::string_view rest = std::string_view(output_).substr(sent_);
-            written = socket_.sendBytes(rest.data(), static_cast<int>(rest.size()));
-        } catch (const Poco::TimeoutException&) {
-            written = 0;
+            sent = send_available(socket_, std::string_view(output_).substr(sent_));
         } catch (const Poco::Exception&) {
             close();
             return;
         }
-        if (written <= 0) {
+        if (sent == 0) {
             break;
         }
-        sent_ += static_cast<std::size_t>(written);
+        sent_ += sent;
     }
     if (!output_.empty() && sent_ == output_.size()) {
         handle_sent();
