core, daemon: no start is ordered on a VM that is cut off

Cause: a VM was usable from its first report until its runs were given up, however old its last report was, and the end of the agent's connection told the scheduler nothing. Now no start is ordered on a VM whose last report is older than the account of room counts (2 s), or whose connection has closed, until it reports again. Its runs are given up as before: they may go on.

Starts that are ordered within these 2 s are still lost; the leader cannot know of the cut before.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -39,6 +39,9 @@
     double clock_drift{0.02};
     /// Longest delay between the end of a lease and the end of the tasks that it covered.
     milliseconds lapse_margin{500};
+    /// No task is started on a VM that has not reported for this long, because the start may not
+    /// arrive either.
+    milliseconds report_age_limit{counted_report_age};
     /// A VM without runs that has not reported for this long is removed.
     milliseconds forget_after{2000};
     /// A VM whose agent has reported for this long that its runner is gone is removed. Shorter than
@@ -151,6 +154,9 @@
     /// Resets the state of the connection to the VM's agent after a new one was opened: orders are
     /// numbered from one again and orders that were not sent are dropped.
     void agent_connected(const vm_name& name);
+    /// No task is started on the VM until its agent reports on a new connection. Does nothing when
+    /// the VM is not known.
+    void agent_disconnected(const vm_name& name);
 
     /// Gives up runs on silent VMs, moves runs off draining VMs, moves stalled tasks and starts
     /// waiting tasks. `wall_ms` is the wall-clock time in milliseconds since 1970.
@@ -283,6 +289,7 @@
     void finish_gang(job_entry& job, const task_ref& task);
     void check_completed(job_entry& job);
     void give_up_silent_vms(boot_time now);
+    void exclude_overdue_vms(boot_time now);
     void move_off_draining_vms(boot_time now);
     /// Moves stalled tasks to other VMs.
     void move_stalled_tasks(boot_time now);
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -52,7 +52,7 @@
 struct vm_state {
     vm_name name;
     runner_registration runner;
-    /// Its agent reports to this leader and has read the runner's lists.
+    /// Its agent is connected and reports to this leader, and has read the runner's lists.
     bool usable{false};
     /// Until when the runs that were reported or ordered may continue without another report.
     boot_time may_run_until{};
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -149,6 +149,7 @@
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
     pass_wall_ms_ = wall_ms;
     give_up_silent_vms(now);
+    exclude_overdue_vms(now);
     move_off_draining_vms(now);
     if (now >= checkpoints_marked_at_ + settings_.checkpoint_interval) {
         checkpoints_marked_at_ = now;
@@ -213,6 +214,17 @@
     }
 }
 
+void job_scheduler::exclude_overdue_vms(boot_time now) {
+    for (auto& [name, vm] : vms_) {
+        if (vm.usable && now >= vm.reported_at + settings_.report_age_limit) {
+            vm.usable = false;
+            record_decision(decision_kind::vm_overdue,
+                            "vm=" + name + " runs=" + std::to_string(vm.runs.size()) +
+                                " report_age_ms=" + std::to_string(age_ms(vm.reported_at, now)));
+        }
+    }
+}
+
 std::vector<vm_name> job_scheduler::expected_vms() const {
     std::vector<vm_name> names;
     for (const auto& [name, silent_until] : expected_vms_) {
--- a/packages/core/source/job/job_scheduler_orders.cpp
+++ b/packages/core/source/job/job_scheduler_orders.cpp
@@ -25,6 +25,13 @@
     sent_slopes_.erase(name);
 }
 
+void job_scheduler::agent_disconnected(const vm_name& name) {
+    const auto found = vms_.find(name);
+    if (found != vms_.end()) {
+        found->second.usable = false;
+    }
+}
+
 vm_orders job_scheduler::take_orders(const vm_name& name, std::uint64_t answered_report) {
     vm_orders orders;
     orders.epoch = epoch_;
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -202,6 +202,9 @@
     if (found != agents_.end()) {
         write_log(log_part::leader, log_level::info, "The connection to an agent closed.",
                   "vm=" + found->first + " " + connection.describe_end());
+        if (leader_ != nullptr) {
+            leader_->agent_disconnected(found->first);
+        }
         agents_.erase(found);
     }
 }
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -62,6 +62,10 @@
     void confirm_leadership(boot_time time);
 
     void agent_connected(const vm_name& name);
+
+    /// The newest connection to the VM's agent has closed.
+    void agent_disconnected(const vm_name& name) { scheduler_.agent_disconnected(name); }
+
     void apply_report(const vm_report& report);
     void add_job(const job_spec& job);
     void cancel_job(const job_id& id);
