core: a VM that rejects all starts gets single ones, with pauses

Runner health does not see it, because no run ends as failed.

After three reports in a row with rejections and no run of the leader's orders listed in between, single starts are tried, 100 ms to 1 s apart, until the runner lists one. Rejections of tasks that are done or cancelled do not count, and one report with many rejections, as after a reconnection, limits nothing.

--- a/packages/core/include/egretstile/core/job/decision.hpp
+++ b/packages/core/include/egretstile/core/job/decision.hpp
@@ -23,6 +23,7 @@
     job_cancelled,
     avoid_vm,
     vm_overdue,
+    limit_starts,
     vm_stays_silent,
     starts_paused,
     starts_resumed,
@@ -35,7 +36,7 @@
 };
 
 /// Names in metrics.
-inline constexpr std::array<enum_name<decision_kind>, 22> decision_kind_names{
+inline constexpr std::array<enum_name<decision_kind>, 23> decision_kind_names{
     {{decision_kind::start_task, "start_task"},
      {decision_kind::step_waits, "step_waits"},
      {decision_kind::move_task, "move_task"},
@@ -49,6 +50,7 @@
      {decision_kind::job_cancelled, "job_cancelled"},
      {decision_kind::avoid_vm, "avoid_vm"},
      {decision_kind::vm_overdue, "vm_overdue"},
+     {decision_kind::limit_starts, "limit_starts"},
      {decision_kind::vm_stays_silent, "vm_stays_silent"},
      {decision_kind::starts_paused, "starts_paused"},
      {decision_kind::starts_resumed, "starts_resumed"},
@@ -60,7 +62,7 @@
      {decision_kind::move_near, "move_near"}}};
 
 /// Log messages. The command `egretstile logs` matches the beginnings of some of them.
-inline constexpr std::array<enum_name<decision_kind>, 22> decision_messages{
+inline constexpr std::array<enum_name<decision_kind>, 23> decision_messages{
     {{decision_kind::start_task, "Starts a task."},
      {decision_kind::step_waits, "A step waits: no VM has room for its next task."},
      {decision_kind::move_task, "Moves a task that makes no progress."},
@@ -74,6 +76,7 @@
      {decision_kind::job_cancelled, "Cancelled a job."},
      {decision_kind::avoid_vm, "Avoids a VM after repeated failed runs."},
      {decision_kind::vm_overdue, "Starts no tasks on a VM: its reports are overdue."},
+     {decision_kind::limit_starts, "Tries single starts on a VM: its agent rejects them."},
      {decision_kind::vm_stays_silent,
       "Stopped waiting for a VM of an earlier leader that has not reported."},
      {decision_kind::starts_paused,
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -273,6 +273,8 @@
                            boot_time now);
     void apply_active_run(vm_state& vm, const active_run& active, boot_time now);
     void apply_rejected_runs(vm_state& vm, const vm_report& report, boot_time now);
+    /// Records that the runner has listed the run, for the first time or again.
+    void note_listed(vm_state& vm, const task_attempt& run);
     void stop_missing_runs(vm_state& vm, const vm_report& report, boot_time now);
     void give_up_runs(vm_state& vm, boot_time now, std::string_view reason);
     /// Drops a run that will not report an end. Its task waits again and is not started before
--- a/packages/core/include/egretstile/core/job/task_placer.hpp
+++ b/packages/core/include/egretstile/core/job/task_placer.hpp
@@ -97,24 +97,26 @@
 /// Reason why a task cannot be placed on a VM.
 enum class placement_obstacle : std::uint8_t {
     none,
-    not_ready,     ///< Its agent does not report, or its runner is draining or gone.
-    other_service, ///< Its runner belongs to another service.
-    closed_domain, ///< Its failure domain is out of service.
-    excluded,      ///< It already runs the task, or is not on the requested rack.
-    no_label,      ///< It lacks the required label.
-    too_many_ends, ///< Its runs and unacknowledged ends would not fit in the runner's lists.
-    no_room,       ///< Its free resources do not cover the task's need.
-    too_slow,      ///< A filling task would be too slow for lack of processor time.
-    limit_per_vm,  ///< It already runs the most tasks of the step that one VM may run.
+    not_ready,      ///< Its agent does not report, or its runner is draining or gone.
+    rejects_starts, ///< Its agent rejects starts; single ones are tried.
+    other_service,  ///< Its runner belongs to another service.
+    closed_domain,  ///< Its failure domain is out of service.
+    excluded,       ///< It already runs the task, or is not on the requested rack.
+    no_label,       ///< It lacks the required label.
+    too_many_ends,  ///< Its runs and unacknowledged ends would not fit in the runner's lists.
+    no_room,        ///< Its free resources do not cover the task's need.
+    too_slow,       ///< A filling task would be too slow for lack of processor time.
+    limit_per_vm,   ///< It already runs the most tasks of the step that one VM may run.
     /// A filling task would be too slow, because serving tasks have too little headroom.
     little_headroom,
     suspect_vm, ///< Its runner fails its runs, and the task is not its trial.
     unproven_vm ///< The task needs a VM with a recent successful run and no recent failures.
 };
 
-inline constexpr std::array<enum_name<placement_obstacle>, 13> placement_obstacle_names{
+inline constexpr std::array<enum_name<placement_obstacle>, 14> placement_obstacle_names{
     {{placement_obstacle::none, "none"},
      {placement_obstacle::not_ready, "not_ready"},
+     {placement_obstacle::rejects_starts, "rejects_starts"},
      {placement_obstacle::other_service, "other_service"},
      {placement_obstacle::closed_domain, "closed_domain"},
      {placement_obstacle::excluded, "excluded"},
--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/job/job_spec.hpp>
 #include <egretstile/core/job/runner_health.hpp>
 #include <egretstile/core/job/runner_types.hpp>
+#include <egretstile/core/job/start_pacing.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -87,6 +88,8 @@
     /// avoided.
     std::uint32_t failures_in_row{0};
     boot_time avoided_until{};
+    /// Limits the starts while the agent rejects them.
+    start_pacing pacing;
     /// Copy of what `runner_health` knows; unused unless the scheduler tracks it.
     vm_health health;
 
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -103,6 +103,7 @@
                                                             : runner_end_evidence::other_instance));
     }
     if (restarted) {
+        vm.pacing = start_pacing();
         vm.last_end = 0;
         vm.acknowledged_end = 0;
         vm.unacknowledged.clear();
@@ -177,6 +178,7 @@
         return;
     }
     job_table::mark_started(*job);
+    note_listed(vm, end.run);
     observe_run_time(*job, end, now);
     learn_run_time(vm, *job, end, now);
     untrack_run(vm, end.run);
@@ -315,6 +317,7 @@
     if (active.percent > tracked->percent || !tracked->was_listed) {
         tracked->progressed_at = now;
     }
+    note_listed(vm, active.run);
     tracked->was_listed = true;
     tracked->percent = active.percent;
     if (!active.checkpoint.empty() && active.checkpoint != task->progress.checkpoint) {
@@ -328,16 +331,36 @@
 }
 
 void job_scheduler::apply_rejected_runs(vm_state& vm, const vm_report& report, boot_time now) {
+    bool rejects_starts = false;
     for (const rejected_run& rejected : report.rejected) {
         if (vm.runs.count(rejected.run) != 0) {
             record_decision(decision_kind::run_missing,
                             fields_of(rejected.run, vm.name) + field("reason", rejected.reason));
             if (job_task* const task = jobs_.find_task(rejected.run.task)) {
                 task->failed_on = vm.name;
+                const bool is_wanted =
+                    !is_final(jobs_.find(rejected.run.task.job)->state) && !task->progress.done;
+                rejects_starts = rejects_starts || is_wanted;
             }
             release_run(vm, rejected.run, now + settings_.retry_pause, now);
         }
     }
+    if (!rejects_starts) {
+        return;
+    }
+    const bool was_limited = vm.pacing.is_limited();
+    vm.pacing.note_rejected(now);
+    if (vm.pacing.is_limited() && !was_limited) {
+        record_decision(decision_kind::limit_starts,
+                        "vm=" + vm.name + " reason=" + report.rejected.front().reason);
+    }
+}
+
+void job_scheduler::note_listed(vm_state& vm, const task_attempt& run) {
+    const tracked_run* const tracked = find_run(run);
+    if (tracked != nullptr && tracked->vm == vm.name && !tracked->was_listed) {
+        vm.pacing.note_listed();
+    }
 }
 
 void job_scheduler::stop_missing_runs(vm_state& vm, const vm_report& report, boot_time now) {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -216,6 +216,7 @@
 
 void job_scheduler::exclude_overdue_vms(boot_time now) {
     for (auto& [name, vm] : vms_) {
+        vm.pacing.advance(now);
         if (vm.usable && now >= vm.reported_at + settings_.report_age_limit) {
             vm.usable = false;
             record_decision(decision_kind::vm_overdue,
@@ -428,6 +429,7 @@
     vm.add_run({task, attempt}, needs_of(step));
     expect_end(vm, {task, attempt}, step, 0, now);
     update_consumed_headroom(vm);
+    vm.pacing.note_ordered();
     note_started(vm, {task, attempt}, now);
     tracked_run run;
     run.attempt = attempt;
--- a/packages/core/source/job/task_placer.cpp
+++ b/packages/core/source/job/task_placer.cpp
@@ -212,6 +212,9 @@
     if (!vm.usable || vm.runner.state != runner_state::ready) {
         return placement_obstacle::not_ready;
     }
+    if (!vm.pacing.admits_start()) {
+        return placement_obstacle::rejects_starts;
+    }
     if (vm.runner.service != request.job->policy.service) {
         return placement_obstacle::other_service;
     }
