core: an end that shows a job's first start is acknowledged after the start is stored

Found by a review of, by reading: a run that a runner lists only as ended, as stopped or lapsed and without a checkpoint, made its job running without raising the job's version, so the end was acknowledged at once and forgotten by the runner. A leader that was killed within the next second left a job that its successor showed as queued and counted as waiting, although it had started. Such an end now raises the version, and its acknowledgement waits for the storing. The new checks in "a job counts as started once a runner lists one of its runs" pass; they were not run on the code before.

--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -136,8 +136,8 @@
     const job_set& unfinished() const { return unfinished_; }
 
     /// Records that a runner has begun a task of the job, which is stored together with the next
-    /// checkpoints. Does nothing when that is known.
-    static void mark_started(job_entry& job);
+    /// checkpoints. False when that was known.
+    static bool mark_started(job_entry& job);
     /// Marks a task as done. Does nothing when it is already done. Precondition: the task exists.
     void mark_done(job_entry& job, const task_ref& task);
     /// Puts the job into a final state, unless it is already in one. Precondition: `state` is
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -177,7 +177,10 @@
         vm.remove_run(end.run);
         return;
     }
-    job_table::mark_started(*job);
+    if (job_table::mark_started(*job)) {
+        // The runner forgets the end once it is acknowledged, which thus waits for the storing.
+        jobs_.mark_changed(*job);
+    }
     note_listed(vm, end.run);
     observe_run_time(*job, end, now);
     learn_run_time(vm, *job, end, now);
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -121,11 +121,13 @@
     return &occurrence.steps[task.step].tasks[task.index];
 }
 
-void job_table::mark_started(job_entry& job) {
-    if (job.state == job_state::queued) {
-        job.state = job_state::running;
-        job.has_unmarked_progress = true;
+bool job_table::mark_started(job_entry& job) {
+    if (job.state != job_state::queued) {
+        return false;
     }
+    job.state = job_state::running;
+    job.has_unmarked_progress = true;
+    return true;
 }
 
 void job_table::mark_done(job_entry& job, const task_ref& task) {
--- a/packages/core/tests/job/unstarted_job_test.cpp
+++ b/packages/core/tests/job/unstarted_job_test.cpp
@@ -112,6 +112,11 @@
     SECTION("as stopped, without having been listed before") {
         agent.report().ended = {{1, run, run_outcome::stopped, ""}};
         agent.report_once();
+        // The runner keeps the end until the start that it shows is stored.
+        CHECK(agent.scheduler.take_orders(agent.report().vm, 0).acknowledged_ends == 0);
+        const std::vector<job_entry*> unstored = agent.scheduler.changed_jobs(10);
+        REQUIRE(unstored.size() == 1);
+        CHECK(progress_of(*unstored.front()).state == job_state::running);
     }
     SECTION("as failed") {
         agent.report().ended = {{1, run, run_outcome::failed, ""}};
