core: no start is ordered on a new connection before the agent's first report

The test "no task is started on a VM whose agent has lost its connection" has the case, and requires starts again after the next report; the new part was not run on the code before.

--- a/packages/core/source/job/job_scheduler_orders.cpp
+++ b/packages/core/source/job/job_scheduler_orders.cpp
@@ -14,6 +14,8 @@
     vm_state& vm = found->second;
     vm.orders_sent = 0;
     vm.last_report = 0;
+    // The agent rejects starts that are not based on a report on this connection.
+    vm.usable = false;
     for (const auto& [run, needs] : vm.runs) {
         if (tracked_run* const tracked = find_run(run)) {
             tracked->order_number = 0;
--- a/packages/core/tests/job/overdue_vm_test.cpp
+++ b/packages/core/tests/job/overdue_vm_test.cpp
@@ -60,8 +60,18 @@
     silent_vm vms;
     vms.silence(milliseconds(100));
     REQUIRE(vms.starts_on_second("before") > 0);
-    vms.scheduler.agent_disconnected("vm-1");
+    SECTION("which has closed") {
+        vms.scheduler.agent_disconnected("vm-1");
+    }
+    SECTION("and opened another one, without having reported on it") {
+        vms.scheduler.agent_connected("vm-1");
+    }
     CHECK(vms.starts_on_second("after") == 0);
+    vms.reports.insert(std::move(vms.silent));
+    vms.scheduler.add_job(make_plain_job("next", 2 * tasks));
+    const std::vector<start_order> starts = vms.exchange();
+    CHECK(std::any_of(starts.begin(), starts.end(),
+                      [&vms](const start_order& start) { return vms.vm_of(start.run) == "vm-1"; }));
 }
 
 } // namespace egretstile
