core: rejections of starts that were ordered together count once

The line "Counted the pending jobs of a queue." no longer repeats the answer as `unstarted`, which is the same number now.

--- a/packages/core/include/egretstile/core/job/start_pacing.hpp
+++ b/packages/core/include/egretstile/core/job/start_pacing.hpp
@@ -3,22 +3,25 @@
 #include <egretstile/core/base/boot_time.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace egretstile {
 
-/// Limits the starts that are ordered on a VM whose agent rejects them: after several reports with
-/// rejections, single starts are tried, with growing pauses, until the runner lists one. Not
-/// thread-safe. Precondition of all methods: `now` does not decrease between calls.
+/// Limits the starts that are ordered on a VM whose agent rejects them: when starts of several
+/// rounds were rejected and none was listed, single starts are tried, with growing pauses, until
+/// the runner lists one. A round ends with its first rejection; all starts that were ordered before
+/// belong to it. Not thread-safe. Precondition of all methods: `now` does not decrease between
+/// calls.
 class start_pacing {
 public:
-    /// A report has rejected starts that should have been carried out.
-    void note_rejected(boot_time now);
+    /// A start that should have been carried out was rejected.
+    void note_rejected(boot_time ordered_at, boot_time now);
 
     /// The runner has listed a run whose start was ordered.
-    void note_listed() { *this = start_pacing(); }
+    void reset() { *this = start_pacing(); }
 
     /// A start was ordered.
-    void note_ordered();
+    void note_ordered(boot_time now);
 
     /// Begins a pass in which starts may be ordered.
     void advance(boot_time now);
@@ -29,12 +32,14 @@
     bool admits_start() const { return !is_limited() || trial_due_; }
 
 private:
-    std::uint32_t rejecting_reports_{0};
+    std::uint32_t rejected_rounds_{0};
+    /// When the last round ended.
+    boot_time rejected_at_{};
     boot_time paused_until_{};
     /// The pause has ended, and no start was ordered since.
     bool trial_due_{false};
-    /// A start was ordered that is neither listed nor rejected.
-    bool trial_open_{false};
+    /// When a start was ordered that is neither listed nor rejected; nothing: there is none.
+    std::optional<boot_time> trial_at_;
 };
 
 } // namespace egretstile
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -334,7 +334,7 @@
 }
 
 void job_scheduler::apply_rejected_runs(vm_state& vm, const vm_report& report, boot_time now) {
-    bool rejects_starts = false;
+    const bool was_limited = vm.pacing.is_limited();
     for (const rejected_run& rejected : report.rejected) {
         if (vm.runs.count(rejected.run) != 0) {
             record_decision(decision_kind::run_missing,
@@ -343,16 +343,14 @@
                 task->failed_on = vm.name;
                 const bool is_wanted =
                     !is_final(jobs_.find(rejected.run.task.job)->state) && !task->progress.done;
-                rejects_starts = rejects_starts || is_wanted;
+                const tracked_run* const tracked = find_run(rejected.run);
+                if (is_wanted && tracked != nullptr) {
+                    vm.pacing.note_rejected(tracked->started_at, now);
+                }
             }
             release_run(vm, rejected.run, now + settings_.retry_pause, now);
         }
     }
-    if (!rejects_starts) {
-        return;
-    }
-    const bool was_limited = vm.pacing.is_limited();
-    vm.pacing.note_rejected(now);
     if (vm.pacing.is_limited() && !was_limited) {
         record_decision(decision_kind::limit_starts,
                         "vm=" + vm.name + " reason=" + report.rejected.front().reason);
@@ -362,7 +360,7 @@
 void job_scheduler::note_listed(vm_state& vm, const task_attempt& run) {
     const tracked_run* const tracked = find_run(run);
     if (tracked != nullptr && tracked->vm == vm.name && !tracked->was_listed) {
-        vm.pacing.note_listed();
+        vm.pacing.reset();
     }
 }
 
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -429,7 +429,7 @@
     vm.add_run({task, attempt}, needs_of(step));
     expect_end(vm, {task, attempt}, step, 0, now);
     update_consumed_headroom(vm);
-    vm.pacing.note_ordered();
+    vm.pacing.note_ordered(now);
     note_started(vm, {task, attempt}, now);
     tracked_run run;
     run.attempt = attempt;
--- a/packages/core/tests/job/start_pacing_test.cpp
+++ b/packages/core/tests/job/start_pacing_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace egretstile {
 namespace {
@@ -62,13 +63,46 @@
 }
 
 // Guards against starts that are delayed because a single event, such as a new connection, has lost
-// many orders.
-TEST_CASE("rejections in one report do not limit the starts on the VM") {
+// many orders, which are rejected one by one.
+TEST_CASE("rejections of starts that were ordered together do not limit the starts on the VM") {
     rejecting_vm vm;
-    CHECK(vm.count_orders(milliseconds(100)) == tasks);
-    vm.exchange();
-    vm.reports.begin()->second.rejected.clear();
-    CHECK(vm.exchange().size() == tasks);
+    vm_report& report = vm.reports.begin()->second;
+    vm.count_orders(milliseconds(100));
+    std::vector<rejected_run> lost = std::exchange(report.rejected, {});
+    REQUIRE(lost.size() == tasks);
+    for (const rejected_run& run : lost) {
+        report.starting.push_back(run.run);
+    }
+    while (!lost.empty()) {
+        report.rejected = {lost.back()};
+        lost.pop_back();
+        report.starting.pop_back();
+        vm.exchange();
+        report.active.clear();
+    }
+    CHECK(std::none_of(vm.decisions.begin(), vm.decisions.end(), [](const decision& made) {
+        return made.kind == decision_kind::limit_starts;
+    }));
+}
+
+// Guards against a VM that gets no start any more because a trial was lost with its connection.
+TEST_CASE("a trial that is neither listed nor rejected is followed by another one") {
+    start_pacing pacing;
+    boot_time now{milliseconds(1000)};
+    for (int round = 0; round < 3; ++round) {
+        now += milliseconds(100);
+        pacing.note_rejected(now - milliseconds(50), now);
+    }
+    REQUIRE(pacing.is_limited());
+    now += milliseconds(2000);
+    pacing.advance(now);
+    REQUIRE(pacing.admits_start());
+    pacing.note_ordered(now);
+    CHECK_FALSE(pacing.admits_start());
+    pacing.advance(now + milliseconds(1000));
+    CHECK_FALSE(pacing.admits_start());
+    pacing.advance(now + milliseconds(3000));
+    CHECK(pacing.admits_start());
 }
 
 } // namespace egretstile
--- a/packages/daemon/source/jobs/leader_access.cpp
+++ b/packages/daemon/source/jobs/leader_access.cpp
@@ -28,9 +28,8 @@
     const std::size_t count = leader.pending(query.queue);
     const unstarted_jobs unstarted = leader.scheduler().jobs().count_unstarted(query.queue);
     write_log(log_part::leader, log_level::info, "Counted the pending jobs of a queue.",
-              "queue=" + query.queue + " pending=" + std::to_string(count) + " unstarted=" +
-                  std::to_string(unstarted.all) + " ordered=" + std::to_string(unstarted.ordered) +
-                  " epoch=" + std::to_string(leader.epoch()) +
+              "queue=" + query.queue + " pending=" + std::to_string(count) + " ordered=" +
+                  std::to_string(unstarted.ordered) + " epoch=" + std::to_string(leader.epoch()) +
                   " serving=" + (leader.is_serving() ? "1" : "0"));
     return {query.call_id, leader.is_serving(), count};
 }
