core: a start without an answer is stopped in the runner's next process

Callers could see a task run twice at the same time after its runner was restarted under the same id, or a task begin again after its end was acknowledged.

Cause: a start that got no answer can be carried out seconds later, then perhaps by the runner's next process: Egretstile-Expect-Instance holds the id, which is the same, the next process has seen no fencing token, and its clock begins anew, so the old deadline lies in its future. The tracker dropped such starts when the runner was replaced or taken as ended, and the leader started their tasks elsewhere with the same report.

The tracker now counts the calls of each start that have no answer. When the runner has ended or is replaced, starts with such calls remain as starts whose time is over: they are reported as starting, and once a new process is registered they are stopped there. A confirmed stop makes that process reject the run, and its later lists show whether it was begun. A run that the new process lists from the first goes on. The leader keeps the runs that a report names as starting also when the runner has ended, and a new leader adopts them, so their tasks start nowhere else before that. The wait ends when the agent no longer names the run, late_start_limit (7 s, chosen) after the latest call, or when the agent is silent beyond its permission. Starts whose calls were all confirmed, refused or not delivered hold up nothing. A VM with such a run stays registered, so a new leader waits for its report.

No stop is taken for sending while the runner is gone, and a confirmation that comes then counts as no answer, because the next process may have sent it.

Not covered: an agent that was restarted does not know the unanswered starts of its former process.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -268,7 +268,12 @@
     void apply_active_run(vm_state& vm, const active_run& active, boot_time now);
     void apply_rejected_runs(vm_state& vm, const vm_report& report, boot_time now);
     void stop_missing_runs(vm_state& vm, const vm_report& report, boot_time now);
-    void give_up_runs(vm_state& vm, boot_time now, std::string_view reason);
+    /// Gives up the runs on the VM except those in `kept`.
+    void give_up_runs(vm_state& vm, const std::vector<task_attempt>& kept, boot_time now,
+                      std::string_view reason);
+    void adopt_starting_runs(vm_state& vm, const vm_report& report, boot_time now);
+    /// Until when runs that are reported now may continue without another report.
+    boot_time permission_end(boot_time now) const;
     /// Drops a run that will not report an end. Its task waits again and is not started before
     /// `retry_at`.
     void release_run(vm_state& vm, const task_attempt& run, boot_time retry_at, boot_time now);
--- a/packages/core/include/egretstile/core/job/run_tracker.hpp
+++ b/packages/core/include/egretstile/core/job/run_tracker.hpp
@@ -25,6 +25,9 @@
     milliseconds silence_limit{1300};
     /// Number of tries of a start. After the last one without an answer, a stop is sent instead.
     std::uint32_t max_start_tries{3};
+    /// For how long after a start was sent and not answered the next process of the runner may
+    /// still carry it out. Longer than any delay of a call that is expected.
+    milliseconds late_start_limit{7000};
 };
 
 /// A start that the agent has to send to the runner.
@@ -36,6 +39,14 @@
     bool in_flight{false};
 };
 
+/// A start of which some calls have no answer, so that the runner's next process may carry it out.
+struct unanswered_start {
+    start_order order;
+    /// When the latest call was sent.
+    boot_time sent_at{};
+    std::uint32_t calls{0};
+};
+
 /// A stop that the agent has to send to the runner.
 struct pending_stop {
     bool in_flight{false};
@@ -50,9 +61,11 @@
 public:
     explicit run_tracker(const run_tracker_settings& settings = {});
 
-    /// Applies a registration of the runner. Clears the state of the runner when it was restarted.
+    /// Applies a registration of the runner. Clears the state of the runner when it was restarted,
+    /// except for starts without an answer: they are stopped in the new process.
     void apply_registration(const runner_registration& registration);
-    /// Records that the registered runner has ended. Precondition: `evidence` is not `none`.
+    /// Records that the registered runner has ended. Starts without an answer are still reported as
+    /// starting for `late_start_limit`. Precondition: `evidence` is not `none`.
     void mark_runner_gone(runner_end_evidence evidence);
 
     /// Applies orders of the leader. False when they are of an earlier epoch and were ignored.
@@ -127,7 +140,13 @@
     std::optional<boot_time> report_sent_at(std::uint64_t sequence) const;
     /// Longest time on this VM's clock until all tasks under a lease of this length have ended.
     milliseconds longest_lease(milliseconds length) const;
+    /// Forgets what belongs to the runner's former process. Starts that its next process may carry
+    /// out remain, to be stopped there.
     void clear_runner_state();
+    /// Records that a call of the start was answered.
+    void remove_unanswered_call(const task_attempt& run);
+    /// Forgets starts that were sent too long ago to be carried out late.
+    void expire_unanswered_starts(boot_time now);
     /// Counts the ends in `ended_` that were not listed before.
     void count_new_ends(boot_time now);
     /// Replaces the lists; keeps active runs that incomplete lists leave out.
@@ -152,6 +171,7 @@
     /// Number of the last end that was counted in `recent_ends_`.
     std::uint64_t counted_end_{0};
     std::map<task_attempt, pending_start> starts_;
+    std::map<task_attempt, unanswered_start> unanswered_starts_;
     std::map<task_attempt, pending_stop> stops_;
     /// Runs whose start the runner has confirmed or refused as superseded, or that are missing from
     /// incomplete lists, and the runner's clock at that time. Complete lists that were read later
--- a/packages/core/include/egretstile/core/job/scheduler_messages.hpp
+++ b/packages/core/include/egretstile/core/job/scheduler_messages.hpp
@@ -48,7 +48,8 @@
     /// What shows that no task runs on the registered runner any more; `none`: tasks may run.
     runner_end_evidence runner_end{runner_end_evidence::none};
     std::vector<active_run> active;
-    /// Starts that the runner has not answered yet.
+    /// Starts that the runner has not answered yet. Also valid when the runner has ended or its
+    /// lists are not known: its next process may carry them out.
     std::vector<task_attempt> starting;
     std::vector<ended_run> ended;
     std::vector<rejected_run> rejected;
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -97,7 +97,8 @@
     }
     const bool restarted = vm.runner.instance != report.runner.instance;
     if (report.has_runner_ended() || restarted) {
-        give_up_runs(vm, now,
+        // The runner's next process may carry out a start that the former one has not answered.
+        give_up_runs(vm, report.starting, now,
                      name_of(runner_end_evidence_names, report.has_runner_ended()
                                                             ? report.runner_end
                                                             : runner_end_evidence::other_instance));
@@ -108,7 +109,8 @@
         vm.unacknowledged.clear();
     }
     if (report.has_runner_ended()) {
-        vm.may_run_until = now;
+        adopt_starting_runs(vm, report, now);
+        vm.may_run_until = vm.runs.empty() ? now : permission_end(now);
         vm.lapsed_since = vm.lapsed_since == boot_time() ? now : vm.lapsed_since;
     } else {
         vm.lapsed_since = boot_time();
@@ -126,10 +128,7 @@
     }
     vm.last_report = report.sequence;
     vm.last_report_at = now;
-    vm.may_run_until = now +
-                       std::chrono::duration_cast<milliseconds>(settings_.permission_term *
-                                                                (1.0 + settings_.clock_drift)) +
-                       settings_.lapse_margin;
+    vm.may_run_until = permission_end(now);
     note_runner_report(vm, report, now);
     apply_ends(vm, report, now);
     apply_active_runs(vm, report, now);
@@ -260,6 +259,10 @@
             jobs_.find_task(active.run.task)->located = true;
         }
     }
+    adopt_starting_runs(vm, report, now);
+}
+
+void job_scheduler::adopt_starting_runs(vm_state& vm, const vm_report& report, boot_time now) {
     for (const task_attempt& starting : report.starting) {
         if (vm.runs.count(starting) == 0) {
             adopt_run(vm, starting, 0, now);
@@ -267,6 +270,13 @@
     }
 }
 
+boot_time job_scheduler::permission_end(boot_time now) const {
+    return now +
+           std::chrono::duration_cast<milliseconds>(settings_.permission_term *
+                                                    (1.0 + settings_.clock_drift)) +
+           settings_.lapse_margin;
+}
+
 tracked_run* job_scheduler::adopt_run(vm_state& vm, const task_attempt& run, std::uint32_t percent,
                                       boot_time now) {
     job_entry* const job = jobs_.find(run.task.job);
@@ -358,9 +368,15 @@
     }
 }
 
-void job_scheduler::give_up_runs(vm_state& vm, boot_time now, std::string_view reason) {
-    while (!vm.runs.empty()) {
-        const task_attempt run = vm.runs.begin()->first;
+void job_scheduler::give_up_runs(vm_state& vm, const std::vector<task_attempt>& kept, boot_time now,
+                                 std::string_view reason) {
+    std::vector<task_attempt> given_up;
+    for (const auto& [run, needs] : vm.runs) {
+        if (std::find(kept.begin(), kept.end(), run) == kept.end()) {
+            given_up.push_back(run);
+        }
+    }
+    for (const task_attempt& run : given_up) {
         record_decision(decision_kind::give_up_run,
                         fields_of(run, vm.name) + field("reason", std::string(reason)) +
                             field("runner", vm.runner.instance) +
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -199,7 +199,7 @@
         // A VM may be silent because it reports to a later leader, which has adopted its runs.
         const bool still_leader = leadership_confirmed_at_ >= vm.may_run_until;
         if (!vm.runs.empty() && now >= vm.may_run_until && still_leader) {
-            give_up_runs(vm, now, "silent");
+            give_up_runs(vm, {}, now, "silent");
             vm.usable = false;
         }
     }
--- a/packages/core/source/job/run_tracker.cpp
+++ b/packages/core/source/job/run_tracker.cpp
@@ -56,6 +56,11 @@
     stops_.clear();
     confirmed_.clear();
     attributes_.clear();
+    for (const auto& [run, unanswered] : unanswered_starts_) {
+        // Not sent again, because its time is over: `next_start` orders a stop.
+        starts_[run] = {unanswered.order, boot_time(), unanswered.calls};
+        attributes_[run] = unanswered.order;
+    }
     rejected_.clear();
     acknowledged_ends_ = 0;
     clock_read_at_ = boot_time();
@@ -122,7 +127,31 @@
     return found == sent_reports_.rend() ? std::nullopt : std::optional<boot_time>(found->second);
 }
 
+void run_tracker::remove_unanswered_call(const task_attempt& run) {
+    const auto found = unanswered_starts_.find(run);
+    if (found != unanswered_starts_.end() && --found->second.calls == 0) {
+        unanswered_starts_.erase(found);
+    }
+}
+
+void run_tracker::expire_unanswered_starts(boot_time now) {
+    for (auto row = unanswered_starts_.begin(); row != unanswered_starts_.end();) {
+        if (now < row->second.sent_at + settings_.late_start_limit) {
+            ++row;
+            continue;
+        }
+        if (registration_.state == runner_state::absent) {
+            starts_.erase(row->first);
+        }
+        row = unanswered_starts_.erase(row);
+    }
+}
+
 std::optional<start_order> run_tracker::next_start(boot_time now) {
+    expire_unanswered_starts(now);
+    if (registration_.state == runner_state::absent) {
+        return std::nullopt;
+    }
     for (auto row = starts_.begin(); row != starts_.end();) {
         const task_attempt run = row->first;
         pending_start& pending = row->second;
@@ -133,6 +162,10 @@
         if (registration_.state == runner_state::ready && now < pending.not_after) {
             pending.in_flight = true;
             ++pending.tries;
+            unanswered_start& unanswered = unanswered_starts_[run];
+            unanswered.order = pending.order;
+            unanswered.sent_at = now;
+            ++unanswered.calls;
             return pending.order;
         }
         if (pending.tries > 0) {
@@ -149,6 +182,9 @@
 }
 
 std::optional<task_attempt> run_tracker::next_stop() {
+    if (registration_.state == runner_state::absent) {
+        return std::nullopt;
+    }
     for (auto& [run, pending] : stops_) {
         if (!pending.in_flight && !pending.confirmed_at_ms) {
             pending.in_flight = true;
@@ -159,12 +195,17 @@
 }
 
 void run_tracker::start_done(const task_attempt& run, std::int64_t clock_ms) {
+    if (registration_.state == runner_state::absent) {
+        return; // The next process may have answered; its lists will show the run.
+    }
+    remove_unanswered_call(run);
     if (starts_.erase(run) != 0) {
         confirmed_[run] = clock_ms;
     }
 }
 
 void run_tracker::start_rejected(const task_attempt& run, const std::string& reason) {
+    remove_unanswered_call(run);
     const auto found = starts_.find(run);
     if (found == starts_.end()) {
         return;
@@ -309,6 +350,7 @@
 }
 
 vm_report run_tracker::make_report(const vm_name& vm, boot_time now) {
+    expire_unanswered_starts(now);
     vm_report report;
     report.vm = vm;
     report.sequence = ++report_count_;
