--- a/packages/core/include/egretstile/core/job/vm_table.hpp
+++ b/packages/core/include/egretstile/core/job/vm_table.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/job/job_spec.hpp>
 #include <egretstile/core/job/runner_health.hpp>
 #include <egretstile/core/job/runner_types.hpp>
+#include <egretstile/core/job/start_pacing.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -52,7 +53,7 @@
 struct vm_state {
     vm_name name;
     runner_registration runner;
-    /// Its agent reports to this leader and has read the runner's lists.
+    /// Its agent is connected and reports to this leader, and has read the runner's lists.
     bool usable{false};
     /// Until when the runs that were reported or ordered may continue without another report.
     boot_time may_run_until{};
@@ -87,6 +88,8 @@
     /// avoided.
     std::uint32_t failures_in_row{0};
     boot_time avoided_until{};
+    /// Limits the starts while the agent rejects them.
+    start_pacing pacing;
     /// Copy of what `runner_health` knows; unused unless the scheduler tracks it.
     vm_health health;
 
