--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -276,7 +276,12 @@
     /// Records that the runner has listed the run, for the first time or again.
     void note_listed(vm_state& vm, const task_attempt& run);
     void stop_missing_runs(vm_state& vm, const vm_report& report, boot_time now);
-    void give_up_runs(vm_state& vm, boot_time now, std::string_view reason);
+    /// Gives up the runs on the VM except those in `kept`.
+    void give_up_runs(vm_state& vm, const std::vector<task_attempt>& kept, boot_time now,
+                      std::string_view reason);
+    void adopt_starting_runs(vm_state& vm, const vm_report& report, boot_time now);
+    /// Until when runs that are reported now may continue without another report.
+    boot_time permission_end(boot_time now) const;
     /// Drops a run that will not report an end. Its task waits again and is not started before
     /// `retry_at`.
     void release_run(vm_state& vm, const task_attempt& run, boot_time retry_at, boot_time now);
