review: a late renewal drops an end of the runner's next process (TWICE)

A renewal without an answer is carried out by the runner's next process under the same id and acknowledges an end that the agent has not read; the task, which is done, is started again.

--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -212,6 +212,72 @@
     return twice || state != "completed" ? broken : held;
 }
 
+/// A renewal of the lease has no answer and is carried out by the runner's next process, whose ends
+/// the agent has not read, because another renewal has no answer.
+int late_renewal(record& log, bool trouble) {
+    const std::string first = job_id(2);
+    const std::string id = job_id(3);
+    constexpr std::int64_t first_tasks = 6;
+    deployment_options options;
+    options.agents = 1;
+    options.duration = [&id](const std::string& task) {
+        return milliseconds(task.compare(0, id.size(), id) == 0 ? 700 : 100);
+    };
+    deployment system(options, log);
+    if (!system.wait_ready()) {
+        return could_not_run;
+    }
+    if (system.submit(first, short_job(first_tasks)).status != 200) {
+        return could_not_run;
+    }
+    for (int round = 0; round < 100 && system.state(first) != "completed"; ++round) {
+        wait(milliseconds(50));
+    }
+    // The first renewal that acknowledges all of these ends, and the first one while the later
+    // job's task is active.
+    std::atomic<bool> first_caught{!trouble};
+    std::atomic<bool> second_caught{!trouble};
+    system.on_standins([&] {
+        system.runner_of(0).set_delay_rule(
+            [&](const runner_call& call) -> std::optional<milliseconds> {
+                if (call.path != "/v1/hold") {
+                    return std::nullopt;
+                }
+                const bool is_first =
+                    call.acked_through > first_tasks && !first_caught.exchange(true);
+                const bool is_second = system.runner_of(0).active_of(id) > 0 &&
+                                       call.deadline_ms > 0 && !second_caught.exchange(true);
+                return is_first || is_second ? std::optional<milliseconds>(12000) : std::nullopt;
+            });
+    });
+    for (int round = 0; round < 1000 && !first_caught; ++round) {
+        wait(milliseconds(2));
+    }
+    wait(milliseconds(200));
+    system.on_standins([&] { system.runner_of(0).crash(); });
+    wait(milliseconds(1500));
+    system.on_standins([&] { system.runner_of(0).restart(); });
+    wait(milliseconds(1000));
+    if (system.submit(id, short_job(1)).status != 200) {
+        return could_not_run;
+    }
+    for (int round = 0; round < 3000 && log.done_tasks(id) == 0; ++round) {
+        wait(milliseconds(1));
+    }
+    system.on_standins([&] { system.runner_of(0).carry_out_late_calls(milliseconds(2000)); });
+    for (int round = 0; round < 100 && system.state(id) != "completed"; ++round) {
+        wait(milliseconds(200));
+    }
+    wait(milliseconds(1000));
+    log.write("GET " + id + ": " + system.state(id));
+    bool twice = false;
+    for (const std::string& text : log.starts_after_done()) {
+        log.write("start after an acknowledged end: " + text);
+        twice = true;
+    }
+    return twice || system.state(id) != "completed" ? broken : held;
+}
+
 /// Ends entries whose memory exceeds `memory_mb` and starts them again after a short delay, as the
 /// platform does.
 class memory_limit {
@@ -515,6 +581,8 @@
         } else if (name == "late-start-and-power-loss") {
             result = late_start(log, trouble, vm_trouble::power_loss, milliseconds(2000),
                                 milliseconds(2000), milliseconds(8000));
+        } else if (name == "late-renewal") {
+            result = late_renewal(log, trouble);
         } else if (name == "former-leader") {
             result = former_leader(log, trouble);
         } else if (name == "cancelled-job-goes-on") {
--- a/review/standins-2/runner.cc
+++ b/review/standins-2/runner.cc
@@ -119,24 +119,23 @@
     if (delay_rule_) {
         const runner_call call{request.path, text_in(*body, "task").value_or(""),
                                number_in(*body, "attempt").value_or(0),
-                               number_in(*body, "deadline_ms").value_or(0)};
+                               number_in(*body, "deadline_ms").value_or(0),
+                               number_in(*body, "acked_through").value_or(0)};
         if (const std::optional<milliseconds> delay = delay_rule_(call)) {
             log_.write("runner " + process_name() + " leaves unanswered " + call.path + " " +
                        call.task + " attempt " + std::to_string(call.attempt) + ", deadline_ms " +
-                       std::to_string(call.deadline_ms) + ", clock_ms " +
+                       std::to_string(call.deadline_ms) + ", acked_through " +
+                       std::to_string(call.acked_through) + ", clock_ms " +
                        std::to_string(clock_ms()));
-            // The responder is kept, so that the connection stays open without an answer.
-            loop_.call_at(boot_now() + *delay, [this, request, respond] {
-                if (server_ == nullptr) {
-                    log_.write("runner " + options_.id + " is down: the late call is lost");
-                    return;
+            const std::uint64_t number = ++late_call_count_;
+            late_calls_[number] = {request, respond, boot_now()};
+            loop_.call_at(boot_now() + *delay, [this, number] {
+                const auto found = late_calls_.find(number);
+                if (found != late_calls_.end()) {
+                    const http_request late = std::move(found->second.request);
+                    late_calls_.erase(found);
+                    carry_out_late(late);
                 }
-                log_.write("runner " + process_name() + " carries out the late " + request.path +
-                           ", clock_ms " + std::to_string(clock_ms()));
-                carry_out(request, [this](http_response&& response) {
-                    log_.write("the late call's result, which nobody gets: " +
-                               std::to_string(response.status) + " " + response.body);
-                });
             });
             return;
         }
@@ -144,6 +143,34 @@
     carry_out(request, respond);
 }
 
+void runner::carry_out_late_calls(milliseconds age) {
+    std::vector<http_request> due;
+    for (auto call = late_calls_.begin(); call != late_calls_.end();) {
+        if (boot_now() < call->second.received_at + age) {
+            ++call;
+            continue;
+        }
+        due.push_back(std::move(call->second.request));
+        call = late_calls_.erase(call);
+    }
+    for (const http_request& request : due) {
+        carry_out_late(request);
+    }
+}
+
+void runner::carry_out_late(const http_request& request) {
+    if (server_ == nullptr) {
+        log_.write("runner " + options_.id + " is down: the late call is lost");
+        return;
+    }
+    log_.write("runner " + process_name() + " carries out the late " + request.path + " " +
+               request.body + ", clock_ms " + std::to_string(clock_ms()));
+    carry_out(request, [this](http_response&& response) {
+        log_.write("the late call's result, which nobody gets: " + std::to_string(response.status) +
+                   " " + response.body);
+    });
+}
+
 void runner::carry_out(const http_request& request, const http_server::responder& respond) {
     const std::optional<rapidjson::Document> body = parse_object(request.body);
     if (request.header("egretstile-expect-instance", options_.id) != options_.id) {
--- a/review/standins-2/runner.h
+++ b/review/standins-2/runner.h
@@ -38,6 +38,7 @@
     std::string task;
     std::int64_t attempt{0};
     std::int64_t deadline_ms{0};
+    std::int64_t acked_through{0};
 };
 
 /// Stand-in for the runner of one VM, as the platform's pages describe it. Must be used on the
@@ -66,6 +67,8 @@
     /// Processor time that the active tasks were declared with is not known to a runner, so this is
     /// the number of active runs of the job.
     std::size_t active_of(const std::string& job) const;
+    /// Carries out the calls now that were received at least `age` ago and left unanswered.
+    void carry_out_late_calls(milliseconds age);
 
     const std::string& id() const { return options_.id; }
 
@@ -94,7 +97,15 @@
         http_server::responder respond;
     };
 
+    struct late_call {
+        http_request request;
+        /// Kept, so that the connection stays open.
+        http_server::responder respond;
+        boot_time received_at;
+    };
+
     void start_process();
+    void carry_out_late(const http_request& request);
     void receive(http_request&& request, const http_server::responder& respond);
     void carry_out(const http_request& request, const http_server::responder& respond);
     http_response start_task(const std::string& body);
@@ -128,6 +139,9 @@
     /// Highest attempt of each task that was stopped or has ended here.
     std::map<std::string, std::int64_t> closed_;
     std::list<waiting_hold> holds_;
+    /// Calls without an answer, by number.
+    std::map<std::uint64_t, late_call> late_calls_;
+    std::uint64_t late_call_count_{0};
 };
 
 } // namespace egretstile::review
