--- a/review/standins-3/cases.cc
+++ b/review/standins-3/cases.cc
@@ -185,6 +185,107 @@
     return completed > 0 ? held : not_run;
 }
 
+std::string image_name(const std::string& kind, std::size_t number) {
+    return "images.example/reminders/" + kind + "-" + std::to_string(number) +
+           "@sha256:" + std::string(64, static_cast<char>('a' + number % 6));
+}
+
+/// Tasks that serve their own users share the runners with tasks that fill, whose images change.
+/// Then the leading entry is killed and starts again, and an ordinary job is handed in.
+verdict many_images(case_context& context) {
+    constexpr std::size_t services = 20;
+    constexpr std::size_t batch_images = 1200;
+    deployment_options options;
+    options.vms = 3;
+    options.work_ms = [](const std::string&) { return 1200; };
+    options.latency_ms = [](const std::string& task) { return task[15] == 'f' ? 20 : 0; };
+    options.used_cpu = 500;
+    options.log_runs = false;
+    deployment system(options, context.events, context.folder);
+    if (!system.wait_ready()) {
+        return not_run;
+    }
+    std::string steps;
+    for (std::size_t number = 0; number < services; ++number) {
+        steps += (steps.empty() ? "" : ",");
+        steps +=
+            R"({"count":3,"anti_affinity":1,"cpu":200,"mem_mb":64,"long_running":true,"target_ms":120,"image":")" +
+            image_name("service", number) + "\"}";
+    }
+    if (!system.hand_in("000000000000000f", R"({"spec":"serve","steps":[)" + steps + "]}")) {
+        return not_run;
+    }
+    sleep_ms(3000);
+    std::vector<std::string> open;
+    std::size_t handed_in = 0;
+    std::size_t images = 0;
+    double reported = 0;
+    while (images < batch_images || !open.empty()) {
+        if (context.events.now() > 75) {
+            return not_run;
+        }
+        for (auto job = open.begin(); job != open.end();) {
+            job = system.state(0, *job) == "completed" ? open.erase(job) : std::next(job);
+        }
+        while (open.size() < 6 && images < batch_images) {
+            const std::string id = padded_id("0000000000e", handed_in++);
+            steps.clear();
+            for (std::size_t number = 0; number < 10; ++number) {
+                steps += steps.empty() ? "" : ",";
+                steps +=
+                    R"({"count":3,"anti_affinity":1,"cpu":500,"mem_mb":64,"estimate_ms":1200,"fill_count":true,"image":")" +
+                    image_name("batch", images++) + "\"}";
+            }
+            if (!system.hand_in(id, R"({"spec":"fill","steps":[)" + steps + "]}")) {
+                return not_run;
+            }
+            open.push_back(id);
+        }
+        if (context.events.now() >= reported + 5) {
+            reported = context.events.now();
+            context.events.write(
+                "images of batch tasks so far: " + std::to_string(images) +
+                "; memory of an agent: " + fixed(system.memory_mb(system.agent_number(0))) + " MB");
+        }
+        sleep_ms(100);
+    }
+    for (std::size_t entry = 0; context.trouble && entry < system.entries(); ++entry) {
+        if (system.log_of(entry).find(": Leads.") != std::string::npos) {
+            context.events.write("the leading entry is killed: entry-" + std::to_string(entry));
+            system.kill_process(entry);
+            sleep_ms(3000);
+            system.start_process(entry);
+            context.events.write("it starts again");
+            break;
+        }
+    }
+    sleep_ms(10000);
+    // LOST: a job has nothing running for 3 s, or isn't done finish_s after the end of the traffic.
+    const bool handed_in_last = system.hand_in(
+        "00000000000000bb",
+        R"({"spec":"notice","steps":[{"count":4,"cpu":2000,"mem_mb":500,"estimate_ms":300}]})");
+    const bool completed = handed_in_last && system.wait_completed("00000000000000bb", 17000);
+    std::size_t runs = 0;
+    std::size_t serving = 0;
+    for (const task_run& run : system.runs().all()) {
+        runs += run.task.compare(0, 16, "00000000000000bb") == 0 ? 1 : 0;
+        serving += run.task.compare(0, 16, "000000000000000f") == 0 && run.ended < 0 ? 1 : 0;
+    }
+    context.events.write("the ordinary job: runs " + std::to_string(runs) + ", " +
+                         (completed ? "completed" : "not completed") + " within 17 s; " +
+                         std::to_string(serving) + " of " + std::to_string(3 * services) +
+                         " tasks that serve are running; all runners are up");
+    for (std::size_t entry = 0; entry < system.entries(); ++entry) {
+        system.state(entry, "00000000000000bb", true);
+    }
+    if (handed_in_last && !completed && runs == 0) {
+        context.events.write(
+            "LOST broken: the accepted job has nothing running while its turn has come");
+        return broken;
+    }
+    return completed ? held : not_run;
+}
+
 /// Not a case, because it takes longer than a script may: how fast completed jobs leave the store.
 verdict removal_rate(case_context& context) {
     deployment_options options;
@@ -299,6 +400,7 @@
 const std::map<std::string, case_function> cases{
     {"foreign-check-in", foreign_check_in},
     {"late-start-lengthens-lease", late_start_lengthens_lease},
+    {"many-images", many_images},
     {"many-starts", many_starts},
     {"removal-rate", removal_rate},
 };
--- a/review/standins-3/deployment.hh
+++ b/review/standins-3/deployment.hh
@@ -40,6 +40,8 @@
     std::int64_t stop_ms{150};
     std::function<std::int64_t(const std::string& task)> work_ms;
     std::function<std::int64_t(const std::string& task, std::int64_t attempt)> start_delay_ms;
+    std::function<std::int64_t(const std::string& task)> latency_ms;
+    std::int64_t used_cpu{0};
     bool log_heartbeats{false};
     bool log_runs{true};
 };
@@ -72,6 +74,8 @@
             shape.stop_ms = options_.stop_ms;
             shape.work_ms = options_.work_ms;
             shape.start_delay_ms = options_.start_delay_ms;
+            shape.latency_ms = options_.latency_ms;
+            shape.used_cpu = options_.used_cpu;
             shape.log_heartbeats = options_.log_heartbeats;
             runners_.push_back(std::make_unique<runner>(std::move(shape), events_, runs_));
         }
--- a/review/standins-3/platform.hh
+++ b/review/standins-3/platform.hh
@@ -416,6 +416,11 @@
     std::function<std::int64_t(const std::string& task)> work_ms;
     /// Milliseconds after which a start is carried out without an answer; 0: at once, with one.
     std::function<std::int64_t(const std::string& task, std::int64_t attempt)> start_delay_ms;
+    /// Response time of a task that serves, in milliseconds; 0: the task doesn't serve. Tasks that
+    /// serve last.
+    std::function<std::int64_t(const std::string& task)> latency_ms;
+    /// What a task that doesn't serve uses, in thousandths of a core.
+    std::int64_t used_cpu{0};
     bool log_heartbeats{false};
 };
 
@@ -466,6 +471,7 @@
             fence_ = 0;
             lease_until_ = 0;
             last_end_ = 0;
+            ticked_at_ = 0;
             active_.clear();
             ended_.clear();
             closed_.clear();
@@ -520,10 +526,12 @@
 private:
     struct active_run {
         std::int64_t attempt{0};
-        std::int64_t started{0};
         std::int64_t work{0};
         std::int64_t stops_at{0};
         std::size_t number{0};
+        std::int64_t latency{0};
+        std::int64_t pace{100};
+        double worked{0};
     };
 
     struct ended_run {
@@ -568,10 +576,13 @@
             }
             const std::int64_t now = clock_ms();
             std::vector<std::pair<std::string, std::string>> ends;
-            for (const auto& [task, run] : active_) {
+            const double passed = static_cast<double>(now - ticked_at_);
+            ticked_at_ = now;
+            for (auto& [task, run] : active_) {
+                run.worked += passed * static_cast<double>(run.pace) / 100.0;
                 if (now >= lease_until_) {
                     ends.emplace_back(task, "lapsed");
-                } else if (now >= run.started + run.work) {
+                } else if (run.latency == 0 && run.worked >= static_cast<double>(run.work)) {
                     ends.emplace_back(task, "done");
                 } else if (run.stops_at != 0 && now >= run.stops_at) {
                     ends.emplace_back(task, "stopped");
@@ -633,6 +644,12 @@
         if (call.path == "/v1/hold") {
             return hold(lock, body);
         }
+        if (call.path == "/v1/pace") {
+            const auto found = active_.find(text_of(body, "task"));
+            if (found != active_.end() && found->second.attempt == number_of(body, "attempt")) {
+                found->second.pace = number_of(body, "percentage");
+            }
+        }
         return response{200, with_clock("")};
     }
 
@@ -676,8 +693,11 @@
         if (found != active_.end() || (closed != closed_.end() && attempt <= closed->second)) {
             return {409, with_clock(R"(,"reason":"old")")};
         }
-        active_[task] = {attempt, clock_ms(), options_.work_ms(task), 0,
-                         runs_.begin(options_.id, task, attempt)};
+        active_run& run = active_[task];
+        run.attempt = attempt;
+        run.work = options_.work_ms(task);
+        run.number = runs_.begin(options_.id, task, attempt);
+        run.latency = options_.latency_ms ? options_.latency_ms(task) : 0;
         return {200, with_clock("")};
     }
 
@@ -720,10 +740,16 @@
     std::string lists() const {
         std::string active;
         for (const auto& [task, run] : active_) {
-            const std::int64_t percent = std::clamp<std::int64_t>(
-                (clock_ms() - run.started) * 100 / std::max<std::int64_t>(run.work, 1), 0, 99);
-            active += (active.empty() ? "[" : ",[") + quoted(task) + "," +
-                      std::to_string(run.attempt) + ",\"\"," + std::to_string(percent) + ",0]";
+            const std::int64_t percent =
+                run.latency > 0
+                    ? 100
+                    : std::clamp<std::int64_t>(static_cast<std::int64_t>(run.worked) * 100 /
+                                                   std::max<std::int64_t>(run.work, 1),
+                                               0, 99);
+            active += active.empty() ? "[" : ",[";
+            active += quoted(task) + "," + std::to_string(run.attempt) + ",\"\"," +
+                      std::to_string(percent) + "," +
+                      std::to_string(run.latency > 0 ? run.latency : options_.used_cpu) + "]";
         }
         std::string ended;
         for (std::size_t row = 0; row < std::min<std::size_t>(ended_.size(), 500); ++row) {
@@ -754,6 +780,7 @@
     std::int64_t fence_{0};
     std::int64_t lease_until_{0};
     std::int64_t last_end_{0};
+    std::int64_t ticked_at_{0};
     int late_calls_{0};
     std::map<std::string, active_run> active_;
     std::deque<ended_run> ended_;
