review: cases renumbered for a graver one

The pairs of images are case 12 now, the late start that lengthens a lease 13, the check-in of another writer 14, the memory of the agents 15.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and cases of review/11 to review/14 into target/review-3/. Needs the packages of the deploy file
+# Builds the stand-ins and cases of review/11 to review/15 into target/review-3/. Needs the packages of the deploy file
 # only; the scripts start target/bin/egretstiled of the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standins-3/cases.cc
+++ b/review/standins-3/cases.cc
@@ -286,6 +286,57 @@
     return completed ? held : not_run;
 }
 
+/// Clients announce a body larger than max_body_bytes, each with one request. The platform starts a
+/// process again that has ended. Without the trouble the announced body is as large as it is.
+verdict large_body(case_context& context) {
+    deployment_options options;
+    options.vms = 4;
+    options.work_ms = [](const std::string&) { return 300; };
+    deployment system(options, context.events, context.folder);
+    if (!system.wait_ready()) {
+        return not_run;
+    }
+    const std::string job =
+        R"({"spec":"notice","steps":[{"count":1,"cpu":200,"mem_mb":64,"estimate_ms":300}]})";
+    std::vector<int> ends(system.processes(), 0);
+    for (int round = 0; round < 3; ++round) {
+        for (std::size_t entry = 0; entry < system.entries(); ++entry) {
+            const std::string id =
+                padded_id("0000000000f", static_cast<std::size_t>(round) * 10 + entry);
+            const std::size_t length = context.trouble ? 300000 : job.size();
+            const std::string answer =
+                system.send_head_and_body(entry, id, length, context.trouble ? std::string() : job);
+            context.events.write("POST " + id + " with Content-Length " + std::to_string(length) +
+                                 " at " + system.name_of(entry) + " -> " +
+                                 (answer.empty() ? "no answer" : answer));
+            sleep_ms(500);
+            for (std::size_t number = 0; number < system.processes(); ++number) {
+                if (system.has_ended(number)) {
+                    ++ends[number];
+                    context.events.write("the process of " + system.name_of(number) +
+                                         " has ended by itself: " + system.last_end());
+                    sleep_ms(300);
+                    system.start_process(number);
+                }
+            }
+        }
+        sleep_ms(3000);
+    }
+    const auto machines =
+        std::count_if(ends.begin(), ends.end(), [](int count) { return count >= 3; });
+    const bool completed =
+        system.hand_in("00000000000000bb", job) && system.wait_completed("00000000000000bb", 17000);
+    context.events.write(
+        "machines on which processes have ended by themselves three times: " +
+        std::to_string(machines) + " of " + std::to_string(system.processes()) +
+        "; an ordinary job afterwards: " + (completed ? "completed" : "not completed"));
+    if (machines >= 2) {
+        context.events.write("Fault broken");
+        return broken;
+    }
+    return completed ? held : not_run;
+}
+
 /// Not a case, because it takes longer than a script may: how fast completed jobs leave the store.
 verdict removal_rate(case_context& context) {
     deployment_options options;
@@ -399,6 +450,7 @@
 
 const std::map<std::string, case_function> cases{
     {"foreign-check-in", foreign_check_in},
+    {"large-body", large_body},
     {"late-start-lengthens-lease", late_start_lengthens_lease},
     {"many-images", many_images},
     {"many-starts", many_starts},
--- a/review/standins-3/deployment.hh
+++ b/review/standins-3/deployment.hh
@@ -155,14 +155,43 @@
 
     /// Whether the process has ended by itself; collects it then.
     bool has_ended(std::size_t number) {
+        int status = 0;
         if (processes_.at(number) > 0 &&
-            ::waitpid(processes_.at(number), nullptr, WNOHANG) == processes_.at(number)) {
+            ::waitpid(processes_.at(number), &status, WNOHANG) == processes_.at(number)) {
+            last_end_ = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                            : "exit code " + std::to_string(WEXITSTATUS(status));
             processes_.at(number) = -1;
             return true;
         }
         return false;
     }
 
+    /// How the process ended that was found last.
+    const std::string& last_end() const { return last_end_; }
+
+    /// A request whose head announces `length` bytes; the first line of the answer, empty without
+    /// one.
+    std::string send_head_and_body(std::size_t entry, const std::string& id, std::size_t length,
+                                   const std::string& body) const {
+        const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = address_of(host_, port_of_entry(entry, 1));
+        std::string head;
+        if (::connect(connection, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
+            0) {
+            const std::string text =
+                "POST " + std::string(queue_prefix) + id + " HTTP/1.1\r\nHost: " + queue_host +
+                "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + body;
+            std::string buffer;
+            std::string answer;
+            if (::send(connection, text.data(), text.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(text.size())) {
+                read_message(connection, buffer, head, answer, 2000);
+            }
+        }
+        ::close(connection);
+        return head.substr(0, head.find("\r\n"));
+    }
+
     /// Resident memory of the process in megabytes.
     double memory_mb(std::size_t number) const {
         std::ifstream file("/proc/" + std::to_string(processes_.at(number)) + "/status");
@@ -334,6 +363,7 @@
     std::unique_ptr<metadata_store> store_;
     std::vector<std::unique_ptr<runner>> runners_;
     std::vector<pid_t> processes_;
+    std::string last_end_;
 };
 
 } // namespace review
