core, daemon: a job takes store and memory for what is under way, and no record holds up others

Cause: the stored progress of a job had a row for each task of all its occurrences, 1.8 MB for 86,400 of them, and the store takes 1 MiB. The leader wrote the 15 oldest changes in one transaction and repeated a rejected one unchanged every 0.2 s. A long checkpoint or a step of some 50,000 tasks had the same effect.

Change: occurrences have state only while they are under way (`job_occurrences`); the record holds ranges of done occurrences, one bit for each task and rows for what differs; resume points that do not fit are left out, those of a gang together. The size that must be kept is bounded at submission (`max_progress_bytes`), and a job above it gets 400 with the sizes at once. `progress_batcher` keeps a write below the store's limit and repeats a rejected one job by job, smaller. This works because nothing that must be kept can exceed the limit any more, and what may be left out is chosen before the store is asked. Records of version 2 are read.

--- a/packages/core/include/egretstile/core/job/decision.hpp
+++ b/packages/core/include/egretstile/core/job/decision.hpp
@@ -21,6 +21,8 @@
     job_done,
     job_failed,
     job_cancelled,
+    job_unstorable,
+    resume_points_left_out,
     avoid_vm,
     vm_overdue,
     limit_starts,
@@ -36,7 +38,7 @@
 };
 
 /// Names in metrics.
-inline constexpr std::array<enum_name<decision_kind>, 23> decision_kind_names{
+inline constexpr std::array<enum_name<decision_kind>, 25> decision_kind_names{
     {{decision_kind::start_task, "start_task"},
      {decision_kind::step_waits, "step_waits"},
      {decision_kind::move_task, "move_task"},
@@ -48,6 +50,8 @@
      {decision_kind::job_done, "job_done"},
      {decision_kind::job_failed, "job_failed"},
      {decision_kind::job_cancelled, "job_cancelled"},
+     {decision_kind::job_unstorable, "job_unstorable"},
+     {decision_kind::resume_points_left_out, "resume_points_left_out"},
      {decision_kind::avoid_vm, "avoid_vm"},
      {decision_kind::vm_overdue, "vm_overdue"},
      {decision_kind::limit_starts, "limit_starts"},
@@ -62,7 +66,7 @@
      {decision_kind::move_near, "move_near"}}};
 
 /// Log messages. The command `egretstile logs` matches the beginnings of some of them.
-inline constexpr std::array<enum_name<decision_kind>, 23> decision_messages{
+inline constexpr std::array<enum_name<decision_kind>, 25> decision_messages{
     {{decision_kind::start_task, "Starts a task."},
      {decision_kind::step_waits, "A step waits: no VM has room for its next task."},
      {decision_kind::move_task, "Moves a task that makes no progress."},
@@ -74,6 +78,9 @@
      {decision_kind::job_done, "A job is done."},
      {decision_kind::job_failed, "A job failed: a task used up its attempts."},
      {decision_kind::job_cancelled, "Cancelled a job."},
+     {decision_kind::job_unstorable, "A job failed: its progress cannot be stored."},
+     {decision_kind::resume_points_left_out,
+      "Stores the progress of a job without some checkpoints: the record would be too large."},
      {decision_kind::avoid_vm, "Avoids a VM after repeated failed runs."},
      {decision_kind::vm_overdue, "Starts no tasks on a VM: its reports are overdue."},
      {decision_kind::limit_starts, "Tries single starts on a VM: its agent rejects them."},
--- a/packages/core/include/egretstile/core/job/job_progress.hpp
+++ b/packages/core/include/egretstile/core/job/job_progress.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/base/name_table.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -43,12 +44,63 @@
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
 
-/// The part of a job's state that the leader stores and that survives a change of the leader.
+/// Numbers of consecutive occurrences of a job, both ends included.
+struct occurrence_range {
+    std::uint32_t first{0};
+    std::uint32_t last{0};
+
+    friend bool operator==(const occurrence_range&, const occurrence_range&) = default;
+};
+
+/// Attempts of one task that ended as failed.
+struct task_failures {
+    /// Number of the task in its step.
+    std::uint32_t index{0};
+    std::vector<attempt_number> attempts;
+
+    friend bool operator==(const task_failures&, const task_failures&) = default;
+};
+
+/// What saves work when a task that has started is started again.
+struct resume_point {
+    /// Number of the task in its step.
+    std::uint32_t index{0};
+    attempt_number last_attempt{0};
+    std::string checkpoint;
+
+    friend bool operator==(const resume_point&, const resume_point&) = default;
+};
+
+/// Stored state of one step of an occurrence that is not done.
+struct step_progress {
+    std::uint32_t occurrence{0};
+    std::uint32_t step{0};
+    /// Bit K%8 of byte K/8 is set when task K is done; bytes without a set bit at the end are left
+    /// out.
+    std::vector<std::uint8_t> done;
+    /// Tasks with failed attempts.
+    std::vector<task_failures> failures;
+    /// Tasks that are not done and have started.
+    std::vector<resume_point> resume_points;
+
+    friend bool operator==(const step_progress&, const step_progress&) = default;
+};
+
+/// The part of a job's state that the leader stores and that survives a change of the leader. All
+/// but the state is empty in a final state: no task starts any more, and a new leader has to read
+/// the jobs that became final in the last two minutes.
 struct job_progress {
     job_state state{job_state::queued};
-    /// All tasks, ordered by occurrence, step and index. Empty in a final state: no task starts any
-    /// more, and a new leader has to read the jobs that became final in the last two minutes.
+    /// Occurrences of which all tasks are done.
+    std::vector<occurrence_range> done;
+    /// Steps of other occurrences, as far as anything has to be stored for them.
+    std::vector<step_progress> steps;
+    /// All tasks, ordered by occurrence, step and index. Only in records of earlier releases, which
+    /// are read but not written any more; then `done` and `steps` are empty.
     std::vector<task_progress> tasks;
 };
 
+/// Number of bytes by which resume points make the stored progress larger. Thread-safe.
+std::size_t resume_point_bytes(const job_progress& progress);
+
 } // namespace egretstile
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -115,6 +115,9 @@
     void restore_progress(const job_id& id, const job_progress& progress, boot_time now);
     /// Cancels a job and stops its runs. Precondition: the cancellation is stored.
     void cancel_job(const job_id& id);
+    /// Ends a job as failed whose progress cannot be stored; `reason` is a word for the log. Does
+    /// nothing when the job is not known or is final.
+    void fail_job(const job_id& id, const std::string& reason, boot_time now);
 
     bool has_job(const job_id& id) const { return jobs_.find(id) != nullptr; }
 
--- a/packages/core/include/egretstile/core/job/job_spec.hpp
+++ b/packages/core/include/egretstile/core/job/job_spec.hpp
@@ -4,6 +4,7 @@
 #include <egretstile/core/base/resources.hpp>
 #include <egretstile/core/job/operator_config.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -89,6 +90,17 @@
 /// Reason why the job is invalid and must be refused; empty when it is valid. Thread-safe.
 std::string job_problem(const job_spec& job);
 
+/// Number of tasks of one occurrence. Thread-safe.
+std::size_t tasks_of_occurrence(const job_spec& job);
+
+/// Most occurrences of the job that are opened because they are due; see `job_occurrences`.
+/// Thread-safe.
+std::size_t max_open_occurrences(const job_spec& job);
+
+/// Upper bound of the size of the job's stored progress without resume points, in bytes.
+/// Thread-safe.
+std::size_t max_progress_bytes(const job_spec& job);
+
 /// One task of a job.
 struct task_ref {
     job_id job;
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <egretstile/core/base/boot_time.hpp>
+#include <egretstile/core/job/job_occurrences.hpp>
 #include <egretstile/core/job/job_progress.hpp>
 #include <egretstile/core/job/job_spec.hpp>
 #include <egretstile/core/job/operator_config.hpp>
@@ -13,74 +14,21 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace egretstile {
 
-/// A run that the leader has ordered or adopted from a report and whose end was not reported yet.
-struct tracked_run {
-    attempt_number attempt{0};
-    vm_name vm;
-    /// Number of the orders that contained the start; zero: the run was adopted from a report, or
-    /// the agent has reconnected since.
-    std::uint64_t order_number{0};
-    boot_time started_at{};
-    /// Started by this leader without a checkpoint, so that `started_at` is the start of the task.
-    bool runs_whole_task{false};
-    /// The runner has listed the run as active. Before that, its start may have been lost.
-    bool was_listed{false};
-    /// A stop has been ordered.
-    bool stopping{false};
-    /// The agent has, or has been sent, the attributes that interference control needs.
-    bool attributes_known{false};
-    /// When the stop was ordered last.
-    boot_time stop_sent_at{};
-    std::uint32_t percent{0};
-    /// When `percent` last rose.
-    boot_time progressed_at{};
-};
-
-struct job_task {
-    task_progress progress;
-    std::vector<tracked_run> runs;
-    /// A run of the task was reported to this leader as active, so no VM that has not reported yet
-    /// has another.
-    bool located{false};
-    /// After a failed run or a rejected start, the task is not started before this time.
-    boot_time retry_at{};
-    /// VM on which the task failed, stalled or was rejected last; another one is preferred.
-    vm_name failed_on;
-    /// VMs on which a run of the task ended as failed, as far as this leader knows.
-    std::vector<vm_name> failed_vms;
-    /// Until when a task with one attempt left waits for a proven VM; nothing: it does not wait.
-    std::optional<boot_time> proof_wait_until;
-    /// A run was stopped to move the task to the rack that holds its data; it is not moved again.
-    bool moved_near{false};
-};
-
-/// One step of one occurrence.
-struct step_state {
-    std::vector<job_task> tasks;
-    std::size_t done_count{0};
-    /// Tasks that are neither done nor have a run.
-    std::set<std::uint32_t> waiting;
-    /// It was reported that a task of the step waits for room.
-    bool waiting_recorded{false};
-};
-
-struct occurrence_state {
-    /// Wall-clock time in milliseconds since 1970 from which it may start; zero: at once.
-    std::int64_t due_ms{0};
-    std::vector<step_state> steps;
-    std::size_t done_steps{0};
-};
-
 /// A job and its state on the leader.
 struct job_entry {
+    explicit job_entry(job_spec accepted)
+        : spec(std::move(accepted))
+        , occurrences(spec) {}
+
     job_spec spec;
     /// `queued` until a runner has listed a run of one of its tasks: an order alone starts nothing.
     job_state state{job_state::queued};
-    std::vector<occurrence_state> occurrences;
+    job_occurrences occurrences;
     /// Increases with each change that has to be stored.
     std::uint64_t version{0};
     /// Latest version that is stored.
@@ -129,12 +77,24 @@
     job_entry* find(const job_id& id);
     const job_entry* find(const job_id& id) const;
 
-    /// Null when the task does not exist.
+    /// Opens the task's occurrence when it is not open. Null when the task does not exist, or when
+    /// its occurrence is closed: it is done, or the job is final.
     job_task* find_task(const task_ref& task);
 
     /// Jobs that are not final.
     const job_set& unfinished() const { return unfinished_; }
 
+    /// Opens the occurrences of unfinished jobs that are due at `wall_ms` (milliseconds since
+    /// 1970), and closes those that are done.
+    void update_occurrences(std::int64_t wall_ms);
+
+    /// Adds a run to the task. Precondition: the task's occurrence is open.
+    static tracked_run& add_run(job_entry& job, const task_ref& task, tracked_run run);
+    /// Removes the task's run with this attempt number on the VM; does nothing when there is none.
+    void remove_run(const task_attempt& run, const vm_name& vm);
+    /// Closes the task's occurrence if the job is final and no run of the occurrence is left.
+    void close_if_final(const task_ref& task);
+
     /// Records that a runner has begun a task of the job, which is stored together with the next
     /// checkpoints. False when that was known.
     static bool mark_started(job_entry& job);
@@ -170,6 +130,10 @@
     unstarted_jobs count_unstarted(const std::string& queue) const;
 
 private:
+    void restore_step(job_entry& job, const step_progress& stored);
+    /// Restores all tasks as earlier releases stored them.
+    void restore_tasks(job_entry& job, const std::vector<task_progress>& stored);
+
     std::map<job_id, std::unique_ptr<job_entry>> jobs_;
     job_set unfinished_;
     /// Jobs that are not stored in their latest version, oldest change first.
@@ -179,9 +143,16 @@
 /// Whether a run of one of the job's tasks is ordered or under way. Thread-safe.
 bool has_runs(const job_entry& job);
 
+/// Whether the specification has such a task. Thread-safe.
+bool has_task(const job_spec& spec, const task_ref& task);
+
 /// Stored form of the job's progress. Thread-safe.
 job_progress progress_of(const job_entry& job);
 
+/// Removes the largest resume points until the rest takes `max_bytes` or less, those of one gang
+/// together, because all members of a gang resume from the same point. Thread-safe.
+void limit_resume_points(job_progress& progress, const job_spec& spec, std::size_t max_bytes);
+
 /// Whether all steps that `step` depends on are done in the occurrence. Preconditions: the
 /// occurrence belongs to the job and the step exists. Thread-safe.
 bool is_step_ready(const job_entry& job, const occurrence_state& occurrence, std::uint32_t step);
--- a/packages/core/source/job/job_scheduler.cpp
+++ b/packages/core/source/job/job_scheduler.cpp
@@ -20,13 +20,6 @@
     return std::chrono::duration_cast<milliseconds>(now - from).count();
 }
 
-bool is_done(const job_entry& job) {
-    return std::all_of(job.occurrences.begin(), job.occurrences.end(),
-                       [](const occurrence_state& occurrence) {
-                           return occurrence.done_steps == occurrence.steps.size();
-                       });
-}
-
 const step_spec& step_of(const job_entry& job, const task_ref& task) {
     return job.spec.steps[task.step];
 }
@@ -86,6 +79,16 @@
     expected_vms_[name] = silent_until;
 }
 
+void job_scheduler::fail_job(const job_id& id, const std::string& reason, boot_time now) {
+    job_entry* const job = jobs_.find(id);
+    if (job == nullptr || is_final(job->state)) {
+        return;
+    }
+    record_decision(decision_kind::job_unstorable, field("job", id) + field("reason", reason));
+    jobs_.finish(*job, job_state::failed);
+    stop_all_runs(*job, now);
+}
+
 bool job_scheduler::apply_report(const vm_report& report, boot_time now) {
     vm_state& vm = vms_[report.vm];
     vm.name = report.vm;
@@ -159,6 +162,7 @@
         }
         vm.last_end = end.number;
         apply_end(vm, end, now);
+        jobs_.close_if_final(end.run.task);
         const job_entry* const job = jobs_.find(end.run.task.job);
         vm.unacknowledged.push_back({end.number, end.run.task, job == nullptr ? 0 : job->version});
     }
@@ -286,12 +290,18 @@
                                       boot_time now) {
     job_entry* const job = jobs_.find(run.task.job);
     job_task* const task = jobs_.find_task(run.task);
-    if (job == nullptr || task == nullptr) {
+    if (job == nullptr || !has_task(job->spec, run.task)) {
         record_decision(decision_kind::stop_unknown_run, fields_of(run, vm.name));
         outboxes_[vm.name].stops.push_back(run);
         return nullptr;
     }
     const step_spec& step = step_of(*job, run.task);
+    if (task == nullptr) {
+        // Its occurrence is closed. It takes room on the VM until it has ended.
+        vm.add_run(run, needs_of(step));
+        order_stop(vm, run, now);
+        return nullptr;
+    }
     task->progress.last_attempt = std::max(task->progress.last_attempt, run.attempt);
     const bool new_here = vm.runs.count(run) == 0;
     vm.add_run(run, needs_of(step));
@@ -301,11 +311,12 @@
     }
     const bool should_run = !is_final(job->state) && !task->progress.done;
     if (tracked == nullptr && should_run && (task->runs.empty() || step.speculative)) {
-        task->runs.push_back({run.attempt, vm.name});
-        tracked = &task->runs.back();
-        tracked->started_at = now;
-        tracked->progressed_at = now;
-        job->occurrences[run.task.occurrence].steps[run.task.step].waiting.erase(run.task.index);
+        tracked_run adopted;
+        adopted.attempt = run.attempt;
+        adopted.vm = vm.name;
+        adopted.started_at = now;
+        adopted.progressed_at = now;
+        tracked = &job_table::add_run(*job, run.task, std::move(adopted));
     }
     if (new_here && tracked == nullptr && should_run) {
         record_decision(decision_kind::second_run,
@@ -412,16 +423,7 @@
 
 void job_scheduler::untrack_run(vm_state& vm, const task_attempt& run) {
     vm.remove_run(run);
-    job_task* const task = jobs_.find_task(run.task);
-    if (task == nullptr) {
-        return;
-    }
-    std::vector<tracked_run>& runs = task->runs;
-    runs.erase(std::remove_if(runs.begin(), runs.end(),
-                              [&](const tracked_run& tracked) {
-                                  return tracked.attempt == run.attempt && tracked.vm == vm.name;
-                              }),
-               runs.end());
+    jobs_.remove_run(run, vm.name);
 }
 
 void job_scheduler::release_run(vm_state& vm, const task_attempt& run, boot_time retry_at,
@@ -437,11 +439,12 @@
             stop_other_gang_members(*job, run, now);
         }
     }
+    jobs_.close_if_final(run.task);
 }
 
 void job_scheduler::requeue_task(job_entry& job, const task_ref& task) {
-    const job_task& state = *jobs_.find_task(task);
-    if (!is_final(job.state) && !state.progress.done && state.runs.empty()) {
+    const job_task* const state = jobs_.find_task(task);
+    if (state != nullptr && !is_final(job.state) && !state->progress.done && state->runs.empty()) {
         job.occurrences[task.occurrence].steps[task.step].waiting.insert(task.index);
     }
 }
@@ -456,9 +459,9 @@
 }
 
 void job_scheduler::stop_all_runs(job_entry& job, boot_time now) {
-    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-            for (std::uint32_t i = 0; i < job.occurrences[k].steps[s].tasks.size(); ++i) {
+    for (const auto& [k, occurrence] : job.occurrences) {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < occurrence.steps[s].tasks.size(); ++i) {
                 stop_runs_of_task({job.spec.id, k, s, i}, now);
             }
         }
@@ -466,7 +469,7 @@
 }
 
 void job_scheduler::check_completed(job_entry& job) {
-    if (!is_final(job.state) && is_done(job)) {
+    if (!is_final(job.state) && job.occurrences.all_done()) {
         record_decision(decision_kind::job_done, field("job", job.spec.id));
         jobs_.finish(job, job_state::completed);
     }
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -1,6 +1,7 @@
 #include <egretstile/core/job/job_scheduler.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -24,13 +25,11 @@
 /// mostly wait for the same VMs.
 constexpr std::size_t max_refused_last_attempts = 4;
 
-/// First occurrence that is not done. Precondition: the job is unfinished.
+/// First open occurrence that is not done. Precondition: the job has an open occurrence.
 const occurrence_state& current_occurrence(const job_entry& job) {
     const auto found = std::find_if(job.occurrences.begin(), job.occurrences.end(),
-                                    [](const occurrence_state& occurrence) {
-                                        return occurrence.done_steps < occurrence.steps.size();
-                                    });
-    return found == job.occurrences.end() ? job.occurrences.back() : *found;
+                                    [](const auto& row) { return !row.second.is_done(); });
+    return found == job.occurrences.end() ? std::prev(found)->second : found->second;
 }
 
 /// Expected run time of one task of the step in milliseconds; zero when all tasks are done.
@@ -117,7 +116,10 @@
     std::vector<job_rank> ranks;
     ranks.reserve(jobs.size());
     for (job_entry* const job : jobs) {
-        ranks.push_back(rank_of(*job, wall_ms, run_times));
+        // A schedule between two due times has nothing to place.
+        if (job->occurrences.begin() != job->occurrences.end()) {
+            ranks.push_back(rank_of(*job, wall_ms, run_times));
+        }
     }
     std::sort(ranks.begin(), ranks.end());
     return ranks;
@@ -148,6 +150,7 @@
 
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
     pass_wall_ms_ = wall_ms;
+    jobs_.update_occurrences(wall_ms);
     give_up_silent_vms(now);
     exclude_overdue_vms(now);
     move_off_draining_vms(now);
@@ -256,8 +259,7 @@
     std::set<std::string> contended;
     for (const job_rank& rank : sorted_by_rank(jobs_.unfinished(), wall_ms, learned_run_times())) {
         job_entry* const job = rank.job;
-        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
-            const occurrence_state& occurrence = job->occurrences[k];
+        for (const auto& [k, occurrence] : job->occurrences) {
             if (occurrence.due_ms > wall_ms) {
                 break;
             }
@@ -439,9 +441,8 @@
     run.progressed_at = now;
     run.attributes_known = true;
     run.runs_whole_task = state.progress.checkpoint.empty();
-    state.runs.push_back(run);
     state.progress.last_attempt = std::max(state.progress.last_attempt, attempt);
-    job.occurrences[task.occurrence].steps[task.step].waiting.erase(task.index);
+    job_table::add_run(job, task, std::move(run));
     start_order order = attributes_of(job, {task, attempt});
     order.payload = job.spec.payload;
     order.checkpoint = state.progress.checkpoint;
--- a/packages/core/source/job/job_scheduler_explanation.cpp
+++ b/packages/core/source/job/job_scheduler_explanation.cpp
@@ -6,6 +6,24 @@
 
 namespace egretstile {
 
+namespace {
+
+/// Adds the steps of an occurrence that has not been opened.
+void explain_next_occurrence(const job_spec& spec, std::uint32_t occurrence,
+                             job_explanation& result) {
+    for (std::uint32_t s = 0; s < spec.steps.size(); ++s) {
+        step_explanation step;
+        step.occurrence = occurrence;
+        step.step = s;
+        step.tasks = spec.steps[s].count;
+        step.waiting = spec.steps[s].count;
+        step.waits_for = step_wait::due_time;
+        result.steps.push_back(std::move(step));
+    }
+}
+
+} // namespace
+
 std::optional<job_explanation> job_scheduler::explain(const job_id& id, boot_time now,
                                                       std::int64_t wall_ms) const {
     const job_entry* const job = jobs_.find(id);
@@ -16,11 +34,14 @@
     result.state = job->state;
     result.queue = job->spec.queue;
     result.priority = job->policy.priority;
-    for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
-        for (std::uint32_t s = 0; s < job->occurrences[k].steps.size(); ++s) {
+    for (const auto& [k, occurrence] : job->occurrences) {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
             result.steps.push_back(explain_step(*job, k, s, now, wall_ms));
         }
     }
+    if (const std::optional<std::uint32_t> next = job->occurrences.next()) {
+        explain_next_occurrence(job->spec, *next, result);
+    }
     return result;
 }
 
--- a/packages/core/source/job/job_scheduler_locality.cpp
+++ b/packages/core/source/job/job_scheduler_locality.cpp
@@ -357,7 +357,7 @@
     }
     std::size_t moved = 0;
     for (const job_entry* const job : jobs_.unfinished()) {
-        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+        for (const auto& [k, occurrence] : job->occurrences) {
             for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
                 const step_spec& step = job->spec.steps[s];
                 if (step.preferred_rack.empty() || step.estimate_ms == 0 || step.long_running ||
--- a/packages/core/source/job/job_scheduler_moves.cpp
+++ b/packages/core/source/job/job_scheduler_moves.cpp
@@ -38,13 +38,13 @@
     std::size_t moving = 0;
     std::vector<std::pair<job_entry*, task_ref>> candidates;
     for (job_entry* const job : jobs_.unfinished()) {
-        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+        for (const auto& [k, occurrence] : job->occurrences) {
             for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
                 const step_spec& step = job->spec.steps[s];
                 if (step.long_running || step.gang) {
                     continue;
                 }
-                const std::vector<job_task>& tasks = job->occurrences[k].steps[s].tasks;
+                const std::vector<job_task>& tasks = occurrence.steps[s].tasks;
                 for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                     if (tasks[i].runs.size() != 1) {
                         continue;
--- a/packages/daemon/source/jobs/job_api.cpp
+++ b/packages/daemon/source/jobs/job_api.cpp
@@ -6,6 +6,7 @@
 #include <egretstile/runtime/telemetry/log.hpp>
 #include <egretstile/wire/record/record_codec.hpp>
 
+#include <Poco/JSONString.h>
 #include <Poco/NumberParser.h>
 
 #include <algorithm>
@@ -32,6 +33,10 @@
     return response;
 }
 
+http_response error_response(int status, const std::string& reason) {
+    return response_of(status, "{\"error\":" + Poco::toJSON(reason) + "}");
+}
+
 /// Refuses a call that the operators' present configuration may treat in another way.
 http_response unconfirmed_config_response(const std::string& reason) {
     http_response refusal = response_of(503, "{\"error\":\"" + reason + "\"}");
@@ -174,7 +179,7 @@
                         "reason=\"" + malformed->reason +
                             "\" left_out=" + std::to_string(*left_out));
         }
-        respond(response_of(400));
+        respond(error_response(400, malformed->reason));
         return;
     }
     job_spec& job = std::get<job_spec>(decoded);
@@ -183,10 +188,17 @@
     job.policy = queue;
     job.accepted_at_ms = wall_now_ms();
     job.accepted_epoch = leader_.epoch();
+    std::string record = wire::encode_record(job);
+    if (const std::string problem = size_problem(job, record.size()); !problem.empty()) {
+        log_request("Refused a job that is too large to be stored.", id,
+                    "reason=\"" + problem + "\"");
+        respond(error_response(400, problem));
+        return;
+    }
     const std::shared_ptr<pending_write> call = std::make_shared<pending_write>();
     call->id = id;
     call->transaction.expected = {{store_keys::job(id), 0}, operators_.config_unchanged()};
-    call->transaction.writes = {{store_keys::job(id), wire::encode_record(job), no_lease}};
+    call->transaction.writes = {{store_keys::job(id), std::move(record), no_lease}};
     call->deadline = deadline;
     call->config_revision = operators_.config_revision();
     call->on_config_changed = [this, request, deadline, respond] {
@@ -206,6 +218,19 @@
     try_store(call);
 }
 
+std::string job_api::size_problem(const job_spec& job, std::size_t record_bytes) const {
+    const std::string limit = std::to_string(settings_.max_value_bytes) + " bytes";
+    if (record_bytes > settings_.max_value_bytes) {
+        return "the job takes " + std::to_string(record_bytes) + " of at most " + limit;
+    }
+    const std::size_t progress_bytes = max_progress_bytes(job);
+    if (progress_bytes > settings_.max_value_bytes) {
+        return "the progress of " + std::to_string(tasks_of_occurrence(job)) + " tasks may take " +
+               std::to_string(progress_bytes) + " of at most " + limit;
+    }
+    return "";
+}
+
 void job_api::try_store(const std::shared_ptr<pending_write>& call) {
     if (call->config_revision != 0 && call->config_revision < operators_.config_revision() &&
         !call->may_be_stored) {
--- a/packages/daemon/source/jobs/job_api.hpp
+++ b/packages/daemon/source/jobs/job_api.hpp
@@ -25,6 +25,8 @@
     /// Time-out of a query to the leader, which answers from memory within a few milliseconds. The
     /// state of a job is read from the store when the leader does not answer.
     milliseconds leader_timeout{250};
+    /// Largest value that the store takes, in bytes.
+    std::size_t max_value_bytes{std::size_t{1024} * 1024};
 };
 
 /// HTTP interface for callers: stores submissions and cancellations of jobs, and answers queries
@@ -81,6 +83,8 @@
     /// the newest; routes it again otherwise.
     void submit(const queue_policy& queue, const job_id& id, const http_request& request,
                 boot_time deadline, http_server::responder respond);
+    /// Why the job, whose record has this size, cannot be stored; empty when it can.
+    std::string size_problem(const job_spec& job, std::size_t record_bytes) const;
     void show(const job_id& id, http_server::responder respond);
     void show_stored(const job_id& id, http_server::responder respond);
     void show_stored_progress(const job_id& id, bool cancelled, http_server::responder respond);
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -59,7 +59,8 @@
                          leader_->confirm_leadership(time);
                      }
                  }})
-    , job_api_(loop_, *store_, platform_.callers(), operators_, leader_access_, metrics_, {})
+    , job_api_(loop_, *store_, platform_.callers(), operators_, leader_access_, metrics_,
+               api_settings())
     , caller_server_(
           loop_, settings_.callers, http_limits_.limits_for(http_address::callers),
           [this](http_request&& request, http_server::responder respond) {
@@ -97,6 +98,12 @@
     loop_.post([this] { begin_stop(); });
 }
 
+job_api_settings job_entry_process::api_settings() const {
+    job_api_settings settings;
+    settings.max_value_bytes = settings_.common.store_value_bytes;
+    return settings;
+}
+
 wire::hello job_entry_process::own_hello() const {
     return {wire::peer_role::entry, settings_.common.vm, 0};
 }
@@ -153,6 +160,7 @@
 
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
+    settings.max_value_bytes = settings_.common.store_value_bytes;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
     settings.scheduler.remote_factor = settings_.remote_factor;
     settings.scheduler.restore_time = settings_.restore_time;
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -78,6 +78,8 @@
 
     wire::hello own_hello() const;
 
+    job_api_settings api_settings() const;
+
     job_entry_settings settings_;
     const platform_access& platform_;
     const bounded_output& log_output_;
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -35,8 +35,6 @@
 constexpr std::size_t idle_vms_per_commit = (max_transaction_entries - 1) / 2;
 /// A transaction has one condition on the epoch, and three removals for each expired job.
 constexpr std::size_t expired_jobs_per_commit = 10;
-/// A transaction has one condition on the epoch, and one condition and one write for each job.
-constexpr std::size_t jobs_per_commit = (max_transaction_entries - 1) / 2;
 
 /// Text such as "3x500m200msfa2" for a step of three tasks that each need 500 millicores and are
 /// estimated to run for 200 ms. Letters for properties that matter for placement follow: f fills
@@ -89,6 +87,7 @@
                      write_log(log_part::leader, log_level::info,
                                std::string(name_of(decision_messages, made.kind)), made.fields);
                  })
+    , batcher_(settings.max_value_bytes)
     , jobs_(loop, store, store_keys::job_prefix, job_watch_wait, view_confirmation::watches,
             {[this](const store_item& item) { apply_job_change(item); },
              [this] { handle_jobs_listed(); }}) {
@@ -381,42 +380,55 @@
     if (storing_ || now < store_not_before_) {
         return;
     }
-    const std::vector<job_entry*> changed = scheduler_.changed_jobs(jobs_per_commit);
-    if (changed.empty()) {
+    progress_batch batch = batcher_.next(scheduler_.changed_jobs(scheduler_.job_count()), now);
+    report_large_records(batch);
+    if (batch.entries.empty()) {
         return;
     }
     store_transaction transaction;
     transaction.expected = {{store_keys::epoch, leadership_.epoch_revision}};
-    std::vector<std::pair<job_id, std::uint64_t>> stored;
-    for (const job_entry* const job : changed) {
-        const std::string key = store_keys::progress(job->spec.id);
+    for (progress_batch::entry& entry : batch.entries) {
+        const std::string key = store_keys::progress(entry.id);
         // The expected revision keeps a write whose answer was lost from taking effect after a
         // later one.
-        transaction.expected.push_back({key, progress_revisions_[job->spec.id]});
-        transaction.writes.push_back({key, wire::encode_record(progress_of(*job)), no_lease});
-        stored.emplace_back(job->spec.id, job->version);
+        transaction.expected.push_back({key, progress_revisions_[entry.id]});
+        transaction.writes.push_back({key, std::move(entry.record), no_lease});
     }
     storing_ = true;
     store_not_before_ = now + settings_.commit_interval;
     const std::weak_ptr<int> alive = alive_;
-    store_.commit(
-        transaction, commit_timeout,
-        [this, alive, stored](std::variant<store_commit, store_conflict, store_error>&& result) {
-            if (!alive.expired()) {
-                handle_commit_result(stored, std::move(result));
-            }
-        });
+    store_.commit(transaction, commit_timeout,
+                  [this, alive, batch = std::move(batch)](
+                      std::variant<store_commit, store_conflict, store_error>&& result) {
+                      if (!alive.expired()) {
+                          handle_commit_result(batch, std::move(result));
+                      }
+                  });
+}
+
+void job_leader::report_large_records(const progress_batch& batch) {
+    for (const job_id& id : batch.reduced) {
+        handlers_.on_decision(decision_kind::resume_points_left_out);
+        write_log(log_part::leader, log_level::warning,
+                  std::string(name_of(decision_messages, decision_kind::resume_points_left_out)),
+                  "job=" + id + " max_bytes=" + std::to_string(settings_.max_value_bytes));
+    }
+    for (const job_id& id : batch.too_large) {
+        scheduler_.fail_job(id, "progress_too_large", boot_now());
+        batcher_.forget(id);
+        request_pass();
+    }
 }
 
 void job_leader::handle_commit_result(
-    const std::vector<std::pair<job_id, std::uint64_t>>& stored,
-    std::variant<store_commit, store_conflict, store_error>&& result) {
+    const progress_batch& batch, std::variant<store_commit, store_conflict, store_error>&& result) {
     storing_ = false;
     const boot_time now = boot_now();
     if (const store_commit* const commit = std::get_if<store_commit>(&result)) {
-        for (const auto& [id, version] : stored) {
-            progress_revisions_[id] = commit->revision;
-            scheduler_.mark_stored(id, version, now);
+        batcher_.note_stored(batch);
+        for (const progress_batch::entry& entry : batch.entries) {
+            progress_revisions_[entry.id] = commit->revision;
+            scheduler_.mark_stored(entry.id, entry.version, now);
         }
         // The next pass sends the new acknowledgements, even to VMs without other orders.
         for (const auto& [name, vm] : scheduler_.vms()) {
@@ -430,9 +442,18 @@
     if (const store_conflict* const conflict = std::get_if<store_conflict>(&result)) {
         handle_conflict(*conflict);
     } else {
+        const store_error error = std::get<store_error>(result);
+        if (error == store_error::rejected) {
+            batcher_.note_rejected(batch, now);
+        }
+        std::size_t bytes = 0;
+        for (const progress_batch::entry& entry : batch.entries) {
+            bytes += entry.bytes;
+        }
         write_log(log_part::leader, log_level::warning, "Cannot store the progress of jobs.",
-                  "jobs=" + std::to_string(stored.size()) + " reason=" +
-                      std::string(name_of(store_error_names, std::get<store_error>(result))));
+                  "jobs=" + std::to_string(batch.entries.size()) +
+                      " first_job=" + batch.entries.front().id + " bytes=" + std::to_string(bytes) +
+                      " reason=" + std::string(name_of(store_error_names, error)));
     }
     store_not_before_ = now + retry_delay;
 }
@@ -585,6 +606,7 @@
         transaction.removals.push_back(store_keys::cancellation(id));
         transaction.removals.push_back(store_keys::progress(id));
         progress_revisions_.erase(id);
+        batcher_.forget(id);
         unremoved_.insert(id);
     }
     const std::weak_ptr<int> alive = alive_;
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -2,6 +2,7 @@
 
 #include "jobs/leader_election.hpp"
 #include "jobs/prefix_view.hpp"
+#include "jobs/progress_batcher.hpp"
 
 #include <egretstile/core/job/job_scheduler.hpp>
 #include <egretstile/wire/message/messages.hpp>
@@ -20,6 +21,8 @@
     /// Shortest time between two writes of job progress; one write stores the changes of several
     /// jobs.
     milliseconds commit_interval{60};
+    /// Largest value that the store takes, in bytes.
+    std::size_t max_value_bytes{std::size_t{1024} * 1024};
     /// Time from the first request for a scheduling pass to the pass, which serves all requests
     /// before it. It thus bounds the rate of passes.
     milliseconds pass_interval{4};
@@ -92,9 +95,11 @@
     void send_orders(const vm_name& name);
     void store_progress();
     void
-    handle_commit_result(const std::vector<std::pair<job_id, std::uint64_t>>& stored,
+    handle_commit_result(const progress_batch& batch,
                          std::variant<infrastructure::store_commit, infrastructure::store_conflict,
                                       infrastructure::store_error>&& result);
+    /// Logs the jobs whose records are reduced, and fails those whose records are too large.
+    void report_large_records(const progress_batch& batch);
     void handle_conflict(const infrastructure::store_conflict& conflict);
     void remove_expired();
     void remove_idle_vms();
@@ -122,6 +127,7 @@
     /// Whether a write of progress is in flight.
     bool storing_{false};
     boot_time store_not_before_{};
+    progress_batcher batcher_;
     /// Revision of the stored progress of each job.
     std::map<job_id, revision_number> progress_revisions_;
     /// Expired jobs that may still be stored, because their removal has not been confirmed. An
--- a/packages/daemon/source/settings/job_settings.hpp
+++ b/packages/daemon/source/settings/job_settings.hpp
@@ -19,6 +19,8 @@
     std::uint16_t metrics_port{0};
     /// Address of the platform's key-value store.
     endpoint store;
+    /// Largest value that the store takes, in bytes.
+    std::uint32_t store_value_bytes{1024 * 1024};
     std::string log_level{"info"};
     /// Memory that the process may use, in megabytes; zero: unknown.
     std::uint32_t memory_mb{0};
--- a/packages/daemon/source/settings/setting_table.cpp
+++ b/packages/daemon/source/settings/setting_table.cpp
@@ -118,6 +118,9 @@
     table.number("metrics_port", "", target.metrics_port, 0, 65535,
                  "Port on which /metrics is served; 0 to serve no metrics.");
     table.remote_address("store", target.store, "Address of the platform's key-value store.");
+    table.number("store_value_bytes", "bytes", target.store_value_bytes, 4096, 1 << 30,
+                 "Largest value that the key-value store takes. Jobs whose progress may need more "
+                 "are refused.");
     table.choice("log_level", names_in(log_level_names), target.log_level,
                  "Lowest severity of log lines that are written.");
     table.number("memory_mb", "MB", target.memory_mb, 0, 1 << 20,
--- a/packages/daemon/tests/jobs/in_memory_store.cpp
+++ b/packages/daemon/tests/jobs/in_memory_store.cpp
@@ -2,6 +2,7 @@
 
 #include <egretstile/infrastructure/clock/boot_now.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace egretstile::daemon {
@@ -114,6 +115,13 @@
             done(store_error::unavailable);
             return;
         }
+        if (std::any_of(
+                transaction.writes.begin(), transaction.writes.end(),
+                [this](const store_write& row) { return row.value.size() > max_value_bytes; })) {
+            ++rejected_commits;
+            done(store_error::rejected);
+            return;
+        }
         store_conflict conflict;
         bool holds = true;
         for (const store_condition& condition : transaction.expected) {
--- a/packages/daemon/tests/jobs/in_memory_store.hpp
+++ b/packages/daemon/tests/jobs/in_memory_store.hpp
@@ -30,6 +30,10 @@
     std::vector<boot_time> renewed_at;
     /// When the last lease was granted.
     boot_time lease_granted_at{};
+    /// Largest value that is accepted, in bytes.
+    std::size_t max_value_bytes{std::size_t{1024} * 1024};
+    /// Number of transactions that were rejected because a value was larger.
+    std::size_t rejected_commits{0};
     /// Whether the store answers; otherwise all calls but those for leases fail without effect.
     bool reachable{true};
 
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -93,9 +93,29 @@
     archive(value.done, value.failed_attempts, value.last_attempt, value.checkpoint);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, occurrence_range& value) {
+    archive(value.first, value.last);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, task_failures& value) {
+    archive(value.index, value.attempts);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, resume_point& value) {
+    archive(value.index, value.last_attempt, value.checkpoint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, step_progress& value) {
+    archive(value.occurrence, value.step, value.done, value.failures, value.resume_points);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, job_progress& value) {
-    archive(value.state, value.tasks);
+    archive(value.state, value.done, value.steps);
 }
 
 template <typename Archive>
--- a/packages/wire/include/egretstile/wire/record/record_codec.hpp
+++ b/packages/wire/include/egretstile/wire/record/record_codec.hpp
@@ -17,6 +17,9 @@
 namespace egretstile::wire {
 
 constexpr std::uint8_t record_version = 2;
+/// Version of the records of job progress. Those of version 2, which hold a row for each task, are
+/// still read.
+constexpr std::uint8_t progress_record_version = 3;
 
 std::string encode_record(const shard_record& record);
 std::optional<shard_record> decode_shard_record(std::string_view bytes);
