core, daemon: a former leader is told that it no longer leads, and copies no task of VMs that left it

Cause: a leader that the store does not confirm can't tell a cut from an outage and starts tasks for up to 5 s. Each agent and entry with a working watch knew that its key was gone, and none told it. Agents whose watch had fallen silent followed it for up to 10 s, and the search for stalled tasks took the silence of VMs that had gone to the next leader for tasks without progress.

A task is moved or copied only if its VM has reported within 1 s, or the store has confirmed the leader within its lease. It works because in an outage nobody can read that the key is gone, so starts go on, while in a cut the first reader ends them.

--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -33,6 +33,8 @@
     /// store; short enough for a task whose VM is lost together with the leader to run again within
     /// 9 s.
     milliseconds permission_term{6500};
+    /// Another leader may exist when the store has last confirmed this one longer ago.
+    milliseconds leader_lease{1500};
     /// How long a job in a final state is kept for callers that query it.
     milliseconds final_retention{120000};
     /// Largest relative rate error of a runner's clock against the leader's clock.
@@ -304,6 +306,8 @@
     /// Moves stalled tasks to other VMs.
     void move_stalled_tasks(boot_time now);
     bool is_stalled(const step_spec& step, const tracked_run& run, boot_time now) const;
+    /// Whether the VM may report to a later leader instead of this one.
+    bool may_have_left(const vm_name& name, boot_time now) const;
     /// Stops the task's only run so that the task starts again, or starts a copy when the step is
     /// speculative. False when no other VM can take the task.
     bool move_task(job_entry& job, const task_ref& task, boot_time now);
--- a/packages/core/source/job/job_scheduler_moves.cpp
+++ b/packages/core/source/job/job_scheduler_moves.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// A VM whose last report is no older reports to this leader. Two report intervals of agents.
+constexpr milliseconds fresh_report_age{1000};
+
 double milliseconds_of(boot_clock::duration duration) {
     return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -66,7 +69,8 @@
 }
 
 bool job_scheduler::is_stalled(const step_spec& step, const tracked_run& run, boot_time now) const {
-    if (!run.was_listed || run.stopping) {
+    // A VM that reports to a later leader is silent here, and its runs may have ended long ago.
+    if (!run.was_listed || run.stopping || may_have_left(run.vm, now)) {
         return false;
     }
     return milliseconds_of(now - run.progressed_at) >=
@@ -74,6 +78,13 @@
                     step.estimate_ms * settings_.stall_share);
 }
 
+bool job_scheduler::may_have_left(const vm_name& name, boot_time now) const {
+    const auto vm = vms_.find(name);
+    const bool reports =
+        vm != vms_.end() && vm->second.usable && now < vm->second.reported_at + fresh_report_age;
+    return !reports && now >= leadership_confirmed_at_ + settings_.leader_lease;
+}
+
 bool job_scheduler::move_task(job_entry& job, const task_ref& task, boot_time now) {
     job_task& state = *jobs_.find_task(task);
     const tracked_run run = state.runs.front();
--- a/packages/core/tests/job/job_scheduler_property_test.cpp
+++ b/packages/core/tests/job/job_scheduler_property_test.cpp
@@ -88,6 +88,35 @@
     }
 }
 
+// Guards against copies of ended tasks that a former leader starts on agents that still follow it,
+// because runs on VMs that have gone to its successor seem to stand still.
+TEST_CASE("a former leader copies no speculative task that has ended under its successor") {
+    fault_rates rates;
+    rates.leader_change = 0.2;
+    rates.stale_views = 0.6;
+    // Orders that a disconnection holds up are carried out later than the bound.
+    rates.agent_disconnect = 0;
+    std::size_t copies = 0;
+    for (std::uint64_t round = 0; round < 40; ++round) {
+        const std::uint64_t seed = test_seed() + 5000 + round;
+        std::mt19937_64 random(seed);
+        cluster_model cluster(seed, rates);
+        for (std::uint64_t number = 0; number < 25; ++number) {
+            job_spec job = two_step_job(number, random);
+            for (step_spec& step : job.steps) {
+                step.speculative = true;
+            }
+            cluster.submit(job);
+            cluster.run(milliseconds(1000), true);
+        }
+        expect_no_violations(cluster, seed);
+        const auto moved = cluster.decisions().find(decision_kind::move_task);
+        copies += moved == cluster.decisions().end() ? 0 : moved->second;
+    }
+    // Otherwise the test would not cover what it guards.
+    CHECK(copies > 100);
+}
+
 // Guards against accepted jobs that are lost or never done after the faults have ended.
 TEST_CASE("all jobs are done after the faults have ended") {
     for (std::uint64_t round = 0; round < 20; ++round) {
--- a/packages/core/tests/job/model/cluster_model.cpp
+++ b/packages/core/tests/job/model/cluster_model.cpp
@@ -19,6 +19,9 @@
 constexpr std::int64_t runner_millicores = 4000;
 /// How long a leader may lead after the store has confirmed it for the last time.
 const std::int64_t longest_unconfirmed_ms = scheduler_settings().permission_term.count();
+constexpr std::int64_t longest_stale_view_ms = 10000;
+/// A copy of a speculative task may start this long after an end of the task was acknowledged.
+constexpr std::int64_t late_copy_bound_ms = 1000;
 /// A cancellation must have reached all runners within this.
 constexpr std::int64_t cancel_bound_ms = 3000;
 
@@ -61,7 +64,7 @@
                       },
                       [this](const ended_run& end) {
                           if (end.outcome == run_outcome::done) {
-                              acknowledged_tasks_.insert(end.run.task);
+                              acknowledged_tasks_.emplace(end.run.task, now_ms_);
                           }
                       }}));
         agents_[name].tracker = std::make_unique<run_tracker>();
@@ -144,9 +147,7 @@
     if (now_ms_ < current.disconnected_until_ms) {
         return;
     }
-    // Agents find the newest leader through the store; some are still connected to an earlier one.
-    const std::shared_ptr<leader> target =
-        leaders_.size() > 1 && random_ms(0, 9) == 0 ? leaders_.front() : leaders_.back();
+    const std::shared_ptr<leader> target = leader_followed_by(current);
     schedule_action(random_ms(1, 30), [this, name, report, target] {
         if (report.epoch > target->scheduler->epoch() || target->stops_at_ms <= now_ms_) {
             return;
@@ -162,6 +163,16 @@
     });
 }
 
+std::shared_ptr<cluster_model::leader> cluster_model::leader_followed_by(agent& follower) {
+    if (now_ms_ < follower.follows_former_until_ms && leaders_.size() > 1 &&
+        leaders_.front()->stops_at_ms > now_ms_) {
+        return leaders_.front();
+    }
+    follower.follows_former_until_ms = 0;
+    // Agents find the newest leader through the store; some are still connected to an earlier one.
+    return leaders_.size() > 1 && random_ms(0, 9) == 0 ? leaders_.front() : leaders_.back();
+}
+
 void cluster_model::deliver_orders(const vm_name& name, const vm_orders& orders) {
     if (now_ms_ < agents_[name].disconnected_until_ms && random_ms(0, 1) == 0) {
         return;
@@ -315,6 +326,12 @@
         }
     }
     leaders_.push_back(next);
+    for (auto& [name, current] : agents_) {
+        if (fault_rates_.stale_views > 0 &&
+            std::bernoulli_distribution(fault_rates_.stale_views)(random_)) {
+            current.follows_former_until_ms = now_ms_ + random_ms(0, longest_stale_view_ms);
+        }
+    }
 }
 
 void cluster_model::change_closures() {
@@ -353,19 +370,7 @@
     started_jobs_.insert(run.task.job);
     const std::string what = to_string(run.task) + " attempt " + std::to_string(run.attempt) +
                              " on " + vm + " at " + std::to_string(now_ms_);
-    for (const std::unique_ptr<model_runner>& other : runners_) {
-        for (const auto& [running, work] : other->running()) {
-            if (running.task == run.task) {
-                violations_.push_back("task runs twice at the same time: " + what +
-                                      ", also attempt " + std::to_string(running.attempt) + " on " +
-                                      other->name() + " since " + std::to_string(work.started_ms) +
-                                      ", epoch " + std::to_string(epoch_));
-            }
-        }
-    }
-    if (acknowledged_tasks_.count(run.task) != 0) {
-        violations_.push_back("task started after its end: " + what);
-    }
+    check_repeated_start(run, what);
     const auto closed = closed_at_ms_.find(vm);
     if (closed != closed_at_ms_.end() && !start_is_late_ &&
         now_ms_ > closed->second + scheduler_settings().closure_age_limit.count()) {
@@ -388,6 +393,30 @@
     }
 }
 
+void cluster_model::check_repeated_start(const task_attempt& run, const std::string& what) {
+    const bool speculative = jobs_.at(run.task.job).steps[run.task.step].speculative;
+    for (const std::unique_ptr<model_runner>& other : runners_) {
+        for (const auto& [running, work] : other->running()) {
+            if (running.task == run.task && !speculative) {
+                violations_.push_back("task runs twice at the same time: " + what +
+                                      ", also attempt " + std::to_string(running.attempt) + " on " +
+                                      other->name() + " since " + std::to_string(work.started_ms) +
+                                      ", epoch " + std::to_string(epoch_));
+            }
+        }
+    }
+    const auto acknowledged = acknowledged_tasks_.find(run.task);
+    if (acknowledged == acknowledged_tasks_.end()) {
+        return;
+    }
+    const bool allowed =
+        speculative && (start_is_late_ || now_ms_ <= acknowledged->second + late_copy_bound_ms);
+    if (!allowed) {
+        violations_.push_back("task started after its end: " + what + ", acknowledged at " +
+                              std::to_string(acknowledged->second));
+    }
+}
+
 void cluster_model::check_capacity() {
     for (const std::unique_ptr<model_runner>& current : runners_) {
         std::int64_t used = 0;
--- a/packages/core/tests/job/model/cluster_model.hpp
+++ b/packages/core/tests/job/model/cluster_model.hpp
@@ -33,6 +33,9 @@
     double closure_change{0.1};
     /// The leader cannot read the closed failure domains for up to 12 s.
     double closures_unreadable{0.05};
+    /// Share of the agents that go on to follow the former leader for up to 10 s after a change,
+    /// because their watch of the store has fallen silent.
+    double stale_views{0};
 };
 
 /// Simulates leaders, agents, runners and the store under random delays, losses, restarts and
@@ -69,6 +72,7 @@
         std::int64_t registers_at_ms{0};
         std::int64_t disconnected_until_ms{0};
         std::int64_t next_report_ms{0};
+        std::int64_t follows_former_until_ms{0};
     };
 
     struct leader {
@@ -87,6 +91,9 @@
     void step();
     void step_agent(const vm_name& name);
     void send_report(const vm_name& name);
+    std::shared_ptr<leader> leader_followed_by(agent& follower);
+    /// Starts of a task that has ended, and of a task that runs elsewhere.
+    void check_repeated_start(const task_attempt& run, const std::string& what);
     void call_runner(const vm_name& name);
     void send_start(const vm_name& name, const start_order& order);
     void step_leader(leader& current);
@@ -116,8 +123,8 @@
     std::map<job_id, std::pair<epoch_number, job_progress>> progress_;
     /// Tasks of which a run has ended as done.
     std::set<task_ref> done_tasks_;
-    /// Tasks whose end as done was acknowledged before the lease of the runner lapsed.
-    std::set<task_ref> acknowledged_tasks_;
+    /// Tasks whose end as done was acknowledged before the lease of the runner lapsed, and when.
+    std::map<task_ref, std::int64_t> acknowledged_tasks_;
     /// VMs in closed failure domains, each of which has one VM, and since when.
     std::map<vm_name, std::int64_t> closed_at_ms_;
     std::int64_t closures_unreadable_until_ms_{0};
--- a/packages/core/tests/job/stalled_task_test.cpp
+++ b/packages/core/tests/job/stalled_task_test.cpp
@@ -116,6 +116,31 @@
     CHECK(vms.scheduler.jobs().find("job")->state == job_state::completed);
 }
 
+// Guards against copies that a leader without contact to the store starts of tasks that have ended:
+// their VM has gone to another leader, so it is silent here.
+TEST_CASE("no copy is started of a task whose VM may report to a later leader") {
+    working_vms vms(2);
+    job_spec job = make_plain_job("job", 2);
+    job.steps[0].speculative = true;
+    vms.scheduler.add_job(job);
+    vms.work(milliseconds(500));
+    REQUIRE(vms.active_on("vm-0") == 1);
+    const bool confirmed = GENERATE(true, false);
+    for (milliseconds elapsed(0); elapsed < milliseconds(4000); elapsed += report_interval) {
+        vms.time += report_interval;
+        if (confirmed) {
+            vms.scheduler.confirm_leadership(vms.now());
+        }
+        vm_report& report = vms.reports.at("vm-1");
+        ++report.sequence;
+        report.active.front().percent += 5;
+        vms.scheduler.apply_report(report, vms.now());
+        vms.scheduler.schedule(vms.now(), vms.time.count());
+    }
+    // While the store confirms the leader, the VM has no other, and a copy replaces a lost run.
+    CHECK(vms.count_decisions(decision_kind::move_task) == (confirmed ? 1 : 0));
+}
+
 // Guards against repeated moves of tasks that make progress but are slower than estimated.
 TEST_CASE("no task is moved while it makes progress, however slow") {
     working_vms vms(4);
--- a/packages/daemon/source/jobs/control_view.cpp
+++ b/packages/daemon/source/jobs/control_view.cpp
@@ -17,6 +17,8 @@
 
 constexpr milliseconds commit_timeout{1000};
 constexpr std::size_t peer_key_bytes = 32;
+/// Bounds the listings that messages of other processes cause.
+constexpr milliseconds refresh_pause{400};
 /// More than there are leaders while a permission lasts.
 constexpr std::size_t max_epochs_seen = 100;
 
@@ -42,6 +44,14 @@
           loop, store, store_keys::control_prefix, watch_wait, view_confirmation::watches,
           {[this](const store_item& item) { apply_change(item); }, [this] { handle_listing(); }}) {}
 
+void control_view::refresh_if_due() {
+    const boot_time now = boot_now();
+    if (refreshed_at_ == boot_time() || now >= refreshed_at_ + refresh_pause) {
+        refreshed_at_ = now;
+        refresh();
+    }
+}
+
 void control_view::apply_change(const store_item& item) {
     if (item.key == store_keys::epoch) {
         epoch_ = parse_epoch(item.value);
--- a/packages/daemon/source/jobs/control_view.hpp
+++ b/packages/daemon/source/jobs/control_view.hpp
@@ -32,6 +32,9 @@
 
     void refresh() { view_.refresh(); }
 
+    /// As `refresh`, unless that has been called through this method a moment ago.
+    void refresh_if_due();
+
     /// Whether the keys have been listed at least once.
     bool is_loaded() const { return view_.confirmed_at().has_value(); }
 
@@ -66,6 +69,7 @@
     epoch_number epoch_{0};
     revision_number epoch_revision_{0};
     std::map<epoch_number, boot_time> epochs_seen_;
+    boot_time refreshed_at_{};
     prefix_view view_;
     std::shared_ptr<int> alive_{std::make_shared<int>(0)};
 };
--- a/packages/daemon/source/jobs/job_agent_process.cpp
+++ b/packages/daemon/source/jobs/job_agent_process.cpp
@@ -54,6 +54,9 @@
             {[this](wire::message&& message) {
                  if (const vm_orders* const orders = std::get_if<vm_orders>(&message)) {
                      apply_orders(*orders);
+                 } else if (std::holds_alternative<wire::not_leading>(message) ||
+                            std::holds_alternative<wire::verify_leader>(message)) {
+                     control_.refresh_if_due();
                  }
              },
              [this] {
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -161,6 +161,7 @@
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
     settings.max_value_bytes = settings_.common.store_value_bytes;
+    settings.scheduler.leader_lease = election_settings().lease;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
     settings.scheduler.remote_factor = settings_.remote_factor;
     settings.scheduler.restore_time = settings_.restore_time;
@@ -219,7 +220,15 @@
 
 void job_entry_process::handle_peer_message(frame_connection& connection, wire::message&& message) {
     if (leader_ == nullptr) {
-        return; // The sender learns from the store which entry leads.
+        if (std::holds_alternative<vm_report>(message) ||
+            std::holds_alternative<wire::leader_ping>(message)) {
+            connection.send(wire::not_leading{});
+        }
+        return;
+    }
+    if (const wire::leadership_ended* const ended = std::get_if<wire::leadership_ended>(&message)) {
+        handle_leadership_ended(connection, *ended);
+        return;
     }
     if (const vm_report* const report = std::get_if<vm_report>(&message)) {
         const auto newest = agents_.find(connection.peer().name);
@@ -266,7 +275,9 @@
 }
 
 void job_entry_process::handle_leader_message(const wire::message& message) {
-    if (const wire::leader_pong* const pong = std::get_if<wire::leader_pong>(&message)) {
+    if (std::holds_alternative<wire::not_leading>(message)) {
+        control_.refresh_if_due();
+    } else if (const wire::leader_pong* const pong = std::get_if<wire::leader_pong>(&message)) {
         if (const std::optional<wire::config_update> update =
                 operator_exchange_.apply_pong(*pong)) {
             link_.send(*update);
@@ -279,6 +290,18 @@
     }
 }
 
+void job_entry_process::handle_leadership_ended(const frame_connection& connection,
+                                                const wire::leadership_ended& ended) {
+    if (ended.epoch < leader_->epoch()) {
+        return; // It is about an earlier leadership of this entry.
+    }
+    write_log(log_part::membership, log_level::info,
+              "Another process has read that this entry no longer leads.",
+              "epoch=" + std::to_string(ended.epoch) + " peer=" + connection.peer().name);
+    // Deferred, because the leader that is destroyed may be in use by the caller.
+    loop_.post([this] { election_.handle_later_epoch(); });
+}
+
 bool job_entry_process::send_to_agent(const vm_name& name, const wire::message& message) {
     const auto found = agents_.find(name);
     const std::shared_ptr<frame_connection> connection =
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -60,6 +60,9 @@
     void handle_peer_opened(frame_connection& connection, const wire::hello& hello);
     void handle_peer_closed(frame_connection& connection);
     void handle_peer_message(frame_connection& connection, wire::message&& message);
+    /// At the leader: another process has read in the store that it no longer leads.
+    void handle_leadership_ended(const frame_connection& connection,
+                                 const wire::leadership_ended& ended);
     /// At the leader.
     void answer_ping(frame_connection& connection, const wire::leader_ping& ping);
     /// At an entry that follows the leader.
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -27,6 +27,10 @@
 constexpr milliseconds job_watch_wait{1000};
 /// Longer than the usual time between two confirmations of the leadership.
 constexpr milliseconds confirmation_gap{1000};
+/// Interval at which a leader that the store does not confirm has agents read who leads, and the
+/// number of agents that it asks each time. Few, because the store may be overloaded.
+constexpr milliseconds verification_interval{500};
+constexpr std::size_t verifying_agents = 8;
 constexpr milliseconds expired_job_removal_interval{5000};
 constexpr milliseconds idle_vm_removal_interval{1000};
 /// Time for the agents to find a new leader, after which those that have not are stored as silent.
@@ -98,6 +102,11 @@
             request_pass();
         }
     });
+    loop_.call_every(verification_interval, [this, alive] {
+        if (!alive.expired()) {
+            verify_leadership();
+        }
+    });
     loop_.call_every(expired_job_removal_interval, [this, alive] {
         if (!alive.expired()) {
             remove_expired();
@@ -477,6 +486,23 @@
     }
 }
 
+void job_leader::verify_leadership() {
+    const vm_table& vms = scheduler_.vms();
+    if (vms.empty() || boot_now() < scheduler_.leadership_confirmed_at() + confirmation_gap) {
+        return;
+    }
+    std::size_t asked = 0;
+    auto vm = vms.upper_bound(last_verifier_);
+    for (std::size_t looked_at = 0; looked_at < vms.size() && asked < verifying_agents;
+         ++looked_at, ++vm) {
+        vm = vm == vms.end() ? vms.begin() : vm;
+        if (handlers_.send(vm->first, wire::verify_leader{epoch()})) {
+            last_verifier_ = vm->first;
+            ++asked;
+        }
+    }
+}
+
 void job_leader::remove_idle_vms() {
     if (!serving_ || !updating_.empty()) {
         return;
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -101,6 +101,8 @@
     /// Logs the jobs whose records are reduced, and fails those whose records are too large.
     void report_large_records(const progress_batch& batch);
     void handle_conflict(const infrastructure::store_conflict& conflict);
+    /// While the store does not confirm this leader, asks some agents to read who leads.
+    void verify_leadership();
     void remove_expired();
     void remove_idle_vms();
     /// Stores which VMs of earlier leaders this one has not heard from, so that a later leader
@@ -144,6 +146,8 @@
     /// used.
     std::set<vm_name> silent_vms_;
     boot_time serving_since_{};
+    /// VM whose agent was asked last to read who leads.
+    vm_name last_verifier_;
     /// Last report of each VM that arrived while the stored jobs were being loaded.
     std::map<vm_name, vm_report> early_reports_;
     /// Sequence number of the report that the next orders for each VM answer; zero when the orders
--- a/packages/daemon/source/jobs/leader_link.cpp
+++ b/packages/daemon/source/jobs/leader_link.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr milliseconds maintenance_interval{100};
+/// For how long the connection to a former leader stays open after the last message to it. Closing
+/// it with unread bytes would discard the message.
+constexpr milliseconds last_message_time{200};
 
 } // namespace
 
@@ -31,6 +34,9 @@
     if (leader == leader_ || peer_key.empty()) {
         return;
     }
+    if (client_ != nullptr && client_->is_open()) {
+        client_->send(wire::leadership_ended{leader_->epoch});
+    }
     drop_client();
     leader_ = leader;
     if (!leader_) {
@@ -39,13 +45,21 @@
     // Copied into the callbacks, because a connection may close after the leader has changed.
     const std::string fields = "leader=" + leader->name + " epoch=" + std::to_string(leader->epoch);
     frame_connection::handlers callbacks;
-    callbacks.on_open = [this, fields](frame_connection& /*connection*/,
-                                       const wire::hello& /*hello*/) {
+    const std::uint64_t number = ++client_number_;
+    callbacks.on_open = [this, fields, number](frame_connection& /*connection*/,
+                                               const wire::hello& /*hello*/) {
+        if (!is_current(number)) {
+            return;
+        }
         last_message_at_ = boot_now();
         write_log(log_part::leader, log_level::info, "Connected to the leader.", fields);
         handlers_.on_open();
     };
-    callbacks.on_message = [this](frame_connection& /*connection*/, wire::message&& message) {
+    callbacks.on_message = [this, number](frame_connection& /*connection*/,
+                                          wire::message&& message) {
+        if (!is_current(number)) {
+            return;
+        }
         last_message_at_ = boot_now();
         handlers_.on_message(std::move(message));
     };
@@ -76,9 +90,10 @@
     if (client_ == nullptr) {
         return;
     }
+    ++client_number_;
     // This may be called from one of the client's callbacks, so the client is destroyed later.
     const std::shared_ptr<frame_client> former_client = std::move(client_);
-    loop_.post([former_client] {});
+    loop_.call_at(boot_now() + last_message_time, [former_client] {});
 }
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/leader_link.hpp
+++ b/packages/daemon/source/jobs/leader_link.hpp
@@ -5,6 +5,7 @@
 
 #include <egretstile/runtime/net/event_loop.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,8 +31,9 @@
     leader_link& operator=(leader_link&&) = delete;
     ~leader_link() = default;
 
-    /// Drops the connection to the previous leader and connects to `leader`, unless that is empty.
-    /// Does nothing when the leader is unchanged or `peer_key` is empty.
+    /// Tells the previous leader that its leadership has ended, drops the connection to it and
+    /// connects to `leader`, unless that is empty. Does nothing when the leader is unchanged or
+    /// `peer_key` is empty. Precondition: `leader` is what the store holds.
     void follow(const std::optional<leader_record>& leader, const std::string& peer_key);
 
     bool is_open() const { return client_ != nullptr && client_->is_open(); }
@@ -48,12 +50,17 @@
     void maintain();
     void drop_client();
 
+    /// Whether the callbacks of this client still count.
+    bool is_current(std::uint64_t client_number) const { return client_number == client_number_; }
+
     event_loop& loop_;
     wire::hello own_hello_;
     milliseconds silence_limit_;
     handlers handlers_;
     std::optional<leader_record> leader_;
     std::unique_ptr<frame_client> client_;
+    /// Number of clients that were created or dropped.
+    std::uint64_t client_number_{0};
     boot_time last_message_at_{};
     std::shared_ptr<int> alive_{std::make_shared<int>(0)};
 };
--- a/packages/daemon/tests/jobs/job_leader_test.cpp
+++ b/packages/daemon/tests/jobs/job_leader_test.cpp
@@ -41,6 +41,7 @@
                         sent.emplace_back(vm, orders->epoch);
                         starts.insert(starts.end(), orders->starts.begin(), orders->starts.end());
                     }
+                    verifications += std::holds_alternative<wire::verify_leader>(message) ? 1 : 0;
                     return true;
                 },
                 [this] { ++later_epochs_seen; }, [](decision_kind) {}});
@@ -56,6 +57,8 @@
     std::unique_ptr<job_leader> leader;
     std::vector<std::pair<vm_name, epoch_number>> sent;
     std::vector<start_order> starts;
+    /// How often agents were asked to read who leads.
+    int verifications{0};
     /// How often the leader has told that there is a later one.
     int later_epochs_seen{0};
 };
@@ -217,6 +220,23 @@
     CHECK(fixture.starts.size() == 1);
 }
 
+// Guards against a leader that is cut off from the store and starts tasks on agents that follow it
+// because their view of the store is old: nobody has a reason to read who leads.
+TEST_CASE("a leader that the store does not confirm has agents read who leads") {
+    takeover_fixture fixture(milliseconds(1));
+    fixture.run_for(milliseconds(100));
+    fixture.leader->agent_connected("vm-1");
+    fixture.leader->apply_report(report_with_room());
+    fixture.run_for(milliseconds(800));
+    CHECK(fixture.verifications == 0);
+    fixture.run_for(milliseconds(1500));
+    CHECK(fixture.verifications >= 2);
+    const int before = fixture.verifications;
+    fixture.leader->confirm_leadership(boot_now());
+    fixture.run_for(milliseconds(900));
+    CHECK(fixture.verifications == before);
+}
+
 /// A leadership whose predecessor may have given permissions until now.
 leadership leadership_after_loss() {
     leadership acquired = leadership_without_predecessor();
--- a/packages/wire/include/egretstile/wire/message/messages.hpp
+++ b/packages/wire/include/egretstile/wire/message/messages.hpp
@@ -328,11 +328,27 @@
     std::uint64_t count{0};
 };
 
-using message = std::variant<hello, heartbeat, heartbeat_reply, start_task, start_reply, evict_task,
-                             throttle_task, serve_request, serve_reply, cancel_request,
-                             forward_submit, forward_query, forward_cancel, forward_reply,
-                             vm_report, vm_orders, leader_ping, leader_pong, job_accepted,
-                             job_cancelled, job_state_query, job_state_reply, pending_jobs_query,
-                             pending_jobs_reply, create_key, create_key_reply, config_update>;
+/// Tells the leader of this epoch that the store no longer names it as the leader.
+struct leadership_ended {
+    epoch_number epoch{0};
+};
+
+/// Answers a report or a ping at an entry that does not lead: the receiver reads from the store
+/// which entry does.
+struct not_leading {};
+
+/// Sent by a leader that the store does not confirm: asks the agent to read from the store which
+/// entry leads, because an agent with an old view would go on to follow a former leader.
+struct verify_leader {
+    epoch_number epoch{0};
+};
+
+using message =
+    std::variant<hello, heartbeat, heartbeat_reply, start_task, start_reply, evict_task,
+                 throttle_task, serve_request, serve_reply, cancel_request, forward_submit,
+                 forward_query, forward_cancel, forward_reply, vm_report, vm_orders, leader_ping,
+                 leader_pong, job_accepted, job_cancelled, job_state_query, job_state_reply,
+                 pending_jobs_query, pending_jobs_reply, create_key, create_key_reply,
+                 config_update, leadership_ended, not_leading, verify_leader>;
 
 } // namespace egretstile::wire
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -385,4 +385,17 @@
     archive(value.call_id, value.outcome);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, leadership_ended& value) {
+    archive(value.epoch);
+}
+
+template <typename Archive>
+void serialize(Archive& /*archive*/, not_leading& /*value*/) {}
+
+template <typename Archive>
+void serialize(Archive& archive, verify_leader& value) {
+    archive(value.epoch);
+}
+
 } // namespace egretstile::wire
