core: a leader that is not confirmed does not stop waiting for a VM of an earlier leader

Cause: a new leader waits for each VM of its predecessors until all permissions there have ended, then starts the tasks that may have run there. The former leader was cut off from the store meanwhile, and the VM had reported to the next one. Runs on silent VMs are given up only by a leader that the store has confirmed since; this wait had no such condition.

Change: the wait ends only if the store has confirmed the leader after the permissions had ended. A leader that was confirmed then had no successor before, so the VM has reported to nobody else.

Test: "a leader that is not confirmed does not stop waiting for a VM of an earlier leader" failed on (one start instead of none).

--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -208,7 +208,8 @@
         }
     }
     for (auto expected = expected_vms_.begin(); expected != expected_vms_.end();) {
-        if (now >= expected->second) {
+        // A VM that has not reported here may have reported to a later leader.
+        if (now >= expected->second && leadership_confirmed_at_ >= expected->second) {
             record_decision(decision_kind::vm_stays_silent, "vm=" + expected->first);
             expected = expected_vms_.erase(expected);
         } else {
--- a/packages/core/tests/job/stalled_task_test.cpp
+++ b/packages/core/tests/job/stalled_task_test.cpp
@@ -141,6 +141,30 @@
     CHECK(vms.count_decisions(decision_kind::move_task) == (confirmed ? 1 : 0));
 }
 
+// Guards against a task that runs again after its end was acknowledged: the VM that ran it for an
+// earlier leader has reported to a later one, and this one, cut off from the store, stops waiting.
+TEST_CASE("a leader that is not confirmed does not stop waiting for a VM of an earlier leader") {
+    simulated_vms vms(1);
+    const bool confirmed = GENERATE(true, false);
+    vms.scheduler.expect_vm("vm-of-earlier-leader", vms.now() + milliseconds(3000));
+    job_spec job = make_plain_job("job", 1);
+    job.accepted_epoch = 0;
+    vms.scheduler.add_job(job);
+    REQUIRE(vms.exchange().empty());
+    vm_report& report = vms.reports.at("vm-0");
+    for (milliseconds elapsed(0); elapsed < milliseconds(4000); elapsed += milliseconds(100)) {
+        vms.time += milliseconds(100);
+        if (confirmed) {
+            vms.scheduler.confirm_leadership(vms.now());
+        }
+        vms.scheduler.confirm_closed_domains(vms.now());
+        ++report.sequence;
+        vms.scheduler.apply_report(report, vms.now());
+        vms.scheduler.schedule(vms.now(), vms.time.count());
+    }
+    CHECK(vms.scheduler.take_orders("vm-0", 0).starts.size() == (confirmed ? 1 : 0));
+}
+
 // Guards against repeated moves of tasks that make progress but are slower than estimated.
 TEST_CASE("no task is moved while it makes progress, however slow") {
     working_vms vms(4);
