bench: jobs are made from their specification

They make their jobs from a specification now; what they measure is unchanged. Result: all targets build.

--- a/testing/bench/job_placement_bench.cpp
+++ b/testing/bench/job_placement_bench.cpp
@@ -120,7 +120,7 @@
         vms.emplace(name, std::move(vm));
     }
     const pressure_model pressures = make_pressures(random);
-    job_entry job;
+    job_entry job{job_spec()};
     job.policy.service = "service-3";
     step_spec serving;
     serving.need = {4000, 4000, 0};
--- a/testing/bench/locality_bench.cpp
+++ b/testing/bench/locality_bench.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace egretstile::bench {
@@ -58,12 +59,13 @@
 }
 
 job_entry make_job() {
-    job_entry job;
-    job.policy.service = "service";
+    job_spec spec;
     step_spec step;
     step.need = need_of_one_core().reserved;
     step.estimate_ms = 650;
-    job.spec.steps = {step};
+    spec.steps = {step};
+    job_entry job(std::move(spec));
+    job.policy.service = "service";
     return job;
 }
 
--- a/testing/bench/runner_health_bench.cpp
+++ b/testing/bench/runner_health_bench.cpp
@@ -39,7 +39,7 @@
 
 void measure(const std::string& strategy, const health_demand& demand, vm_table& vms) {
     separating_placer placer;
-    job_entry job;
+    job_entry job{job_spec()};
     step_spec step;
     step.need = {2000, 8000, 0};
     step.fills_idle_cpu = true;
