core, daemon: the leader accounts for the memory of all jobs, and entries refuse what has no room

Cause: a leader built the state of all tasks of all occurrences when it learned of a job, and so did each next leader; a job was judged by its number of tasks, and nothing looked at the jobs together.

Change: the leader's account (`job_table::memory_bytes`) is stated in each answer to a ping, under the smallest limit of the entries, with the time at which the next job leaves. An entry without room answers 503 with `Retry-After`, after it has read that no job of this id is stored, so that "has not run" is true; 200 if one is, 504 if the store can't tell. Schedules that are behind share the memory. Final jobs that are due leave the store write after write, because jobs that wait for their removal would now cause refusals. It works because what is accepted has a bound that each entry can hold.

--- a/packages/core/include/egretstile/core/job/job_occurrences.hpp
+++ b/packages/core/include/egretstile/core/job/job_occurrences.hpp
@@ -98,6 +98,9 @@
 
     container::const_iterator end() const { return open_.end(); }
 
+    /// Number of open occurrences.
+    std::size_t size() const { return open_.size(); }
+
     /// Precondition: the occurrence is open.
     occurrence_state& operator[](std::uint32_t number) { return open_.at(number); }
 
@@ -107,8 +110,9 @@
     /// is closed.
     occurrence_state* open(const job_spec& spec, std::uint32_t number);
     /// Opens the occurrences that are due at `wall_ms` (milliseconds since 1970) in their order, up
-    /// to `max_open_occurrences`.
-    void open_due(const job_spec& spec, std::int64_t wall_ms);
+    /// to `max_open_occurrences` and `max_more` at a time, but at least one if none is open.
+    /// Returns how many were opened.
+    std::size_t open_due(const job_spec& spec, std::int64_t wall_ms, std::size_t max_more);
     /// Closes the occurrences that are done and have no tracked run.
     void close_done();
     /// Closes all occurrences without a tracked run, whose tasks no longer matter. Precondition:
--- a/packages/core/include/egretstile/core/job/job_scheduler.hpp
+++ b/packages/core/include/egretstile/core/job/job_scheduler.hpp
@@ -35,6 +35,8 @@
     milliseconds permission_term{6500};
     /// Another leader may exist when the store has last confirmed this one longer ago.
     milliseconds leader_lease{1500};
+    /// Memory that the jobs may take, in bytes.
+    std::size_t job_memory_limit{std::size_t{64} * 1024 * 1024};
     /// How long a job in a final state is kept for callers that query it.
     milliseconds final_retention{120000};
     /// Largest relative rate error of a runner's clock against the leader's clock.
--- a/packages/core/include/egretstile/core/job/job_spec.hpp
+++ b/packages/core/include/egretstile/core/job/job_spec.hpp
@@ -97,6 +97,12 @@
 /// Thread-safe.
 std::size_t max_open_occurrences(const job_spec& job);
 
+/// Memory that the leader needs for the job without its tasks, in bytes. Thread-safe.
+std::size_t memory_of_job(const job_spec& job);
+
+/// Memory that the leader needs for one open occurrence of the job, in bytes. Thread-safe.
+std::size_t memory_of_occurrence(const job_spec& job);
+
 /// Upper bound of the size of the job's stored progress without resume points, in bytes.
 /// Thread-safe.
 std::size_t max_progress_bytes(const job_spec& job);
--- a/packages/core/include/egretstile/core/job/job_table.hpp
+++ b/packages/core/include/egretstile/core/job/job_table.hpp
@@ -85,8 +85,17 @@
     const job_set& unfinished() const { return unfinished_; }
 
     /// Opens the occurrences of unfinished jobs that are due at `wall_ms` (milliseconds since
-    /// 1970), and closes those that are done.
-    void update_occurrences(std::int64_t wall_ms);
+    /// 1970), and closes those that are done. A job has more than one open occurrence only as long
+    /// as all jobs take no more than `memory_limit` bytes.
+    void update_occurrences(std::int64_t wall_ms, std::size_t memory_limit);
+
+    /// Memory that the jobs take, in bytes; at least one occurrence counts for each unfinished job.
+    /// Checkpoints are not counted. Reads all jobs.
+    std::size_t memory_bytes() const;
+
+    /// When the next final job is removed by `final_before`, if final jobs are kept for
+    /// `retention`; nothing when none is final. Reads all jobs.
+    std::optional<boot_time> next_removal(milliseconds retention) const;
 
     /// Adds a run to the task. Precondition: the task's occurrence is open.
     static tracked_run& add_run(job_entry& job, const task_ref& task, tracked_run run);
--- a/packages/core/source/job/job_occurrences.cpp
+++ b/packages/core/source/job/job_occurrences.cpp
@@ -49,11 +49,16 @@
     return &opened;
 }
 
-void job_occurrences::open_due(const job_spec& spec, std::int64_t wall_ms) {
-    const std::size_t limit = max_open_occurrences(spec);
+std::size_t job_occurrences::open_due(const job_spec& spec, std::int64_t wall_ms,
+                                      std::size_t max_more) {
+    const std::size_t limit =
+        std::min(max_open_occurrences(spec), std::max<std::size_t>(open_.size() + max_more, 1));
+    std::size_t opened = 0;
     while (next_ < count_ && due_time_ms(spec, next_) <= wall_ms && open_.size() < limit) {
         open(spec, next_);
+        ++opened;
     }
+    return opened;
 }
 
 void job_occurrences::close_done() {
--- a/packages/core/source/job/job_scheduler_decisions.cpp
+++ b/packages/core/source/job/job_scheduler_decisions.cpp
@@ -150,7 +150,7 @@
 
 void job_scheduler::schedule(boot_time now, std::int64_t wall_ms) {
     pass_wall_ms_ = wall_ms;
-    jobs_.update_occurrences(wall_ms);
+    jobs_.update_occurrences(wall_ms, settings_.job_memory_limit);
     give_up_silent_vms(now);
     exclude_overdue_vms(now);
     move_off_draining_vms(now);
--- a/packages/core/source/job/job_spec.cpp
+++ b/packages/core/source/job/job_spec.cpp
@@ -20,6 +20,12 @@
 constexpr std::size_t failures_bytes = 8;
 constexpr std::size_t failure_bytes = 4;
 constexpr std::size_t bits_of_byte = 8;
+/// Memory of a job, with its rows in the tables of the leader, and of an occurrence, a step and a
+/// task with a run.
+constexpr std::size_t job_memory_bytes = 2048;
+constexpr std::size_t occurrence_memory_bytes = 256;
+constexpr std::size_t step_memory_bytes = 512;
+constexpr std::size_t task_memory_bytes = 640;
 
 std::size_t max_bytes_of_step(const step_spec& step, std::uint32_t max_attempts) {
     const std::size_t failing = step.long_running ? 0 : step.gang ? 1 : step.count;
@@ -58,6 +64,20 @@
                            [](std::size_t sum, const step_spec& step) { return sum + step.count; });
 }
 
+std::size_t memory_of_job(const job_spec& job) {
+    std::size_t bytes = job_memory_bytes + job.payload.size();
+    for (const step_spec& step : job.steps) {
+        bytes += step_memory_bytes + step.after.size() * sizeof(std::uint32_t) +
+                 step.required_label.size() + step.preferred_rack.size() + step.image.size();
+    }
+    return bytes;
+}
+
+std::size_t memory_of_occurrence(const job_spec& job) {
+    return occurrence_memory_bytes + job.steps.size() * step_memory_bytes +
+           tasks_of_occurrence(job) * task_memory_bytes;
+}
+
 std::size_t max_open_occurrences(const job_spec& job) {
     const std::size_t occurrences = std::max<std::size_t>(job.schedule.repetitions, 1);
     const std::size_t tasks = std::max<std::size_t>(tasks_of_occurrence(job), 1);
--- a/packages/core/source/job/job_table.cpp
+++ b/packages/core/source/job/job_table.cpp
@@ -208,13 +208,45 @@
     return occurrence == nullptr ? nullptr : &occurrence->steps[task.step].tasks[task.index];
 }
 
-void job_table::update_occurrences(std::int64_t wall_ms) {
+void job_table::update_occurrences(std::int64_t wall_ms, std::size_t memory_limit) {
+    std::optional<std::size_t> used;
     for (job_entry* const job : unfinished_) {
-        if (job->spec.schedule.repetitions > 0) {
-            job->occurrences.close_done();
-            job->occurrences.open_due(job->spec, wall_ms);
+        if (job->spec.schedule.repetitions == 0) {
+            continue;
+        }
+        job->occurrences.close_done();
+        const std::optional<std::uint32_t> next = job->occurrences.next();
+        if (!next || due_time_ms(job->spec, *next) > wall_ms) {
+            continue;
+        }
+        used = used ? used : memory_bytes();
+        const std::size_t bytes = memory_of_occurrence(job->spec);
+        const std::size_t left = memory_limit - std::min(*used, memory_limit);
+        const std::size_t reserved = job->occurrences.size() == 0 ? 1 : 0;
+        const std::size_t opened =
+            job->occurrences.open_due(job->spec, wall_ms, left / bytes + reserved);
+        *used += (opened - std::min(opened, reserved)) * bytes;
+    }
+}
+
+std::size_t job_table::memory_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [id, job] : jobs_) {
+        const std::size_t reserved = is_final(job->state) ? 0 : 1;
+        bytes += memory_of_job(job->spec) +
+                 std::max(job->occurrences.size(), reserved) * memory_of_occurrence(job->spec);
+    }
+    return bytes;
+}
+
+std::optional<boot_time> job_table::next_removal(milliseconds retention) const {
+    std::optional<boot_time> next;
+    for (const auto& [id, job] : jobs_) {
+        if (job->final_at && (!next || *job->final_at + retention < *next)) {
+            next = *job->final_at + retention;
         }
     }
+    return next;
 }
 
 tracked_run& job_table::add_run(job_entry& job, const task_ref& task, tracked_run run) {
--- a/packages/daemon/source/jobs/job_api.cpp
+++ b/packages/daemon/source/jobs/job_api.cpp
@@ -21,6 +21,9 @@
 
 /// Delay before a failed write to the store is tried again.
 constexpr milliseconds store_retry_delay{120};
+/// Bounds of `Retry-After` when the leader has no memory left.
+constexpr milliseconds min_room_wait{1000};
+constexpr milliseconds max_room_wait{30000};
 /// After a failed write to the store, keys are written through the leader for this long: an outage
 /// that affects only some VMs lasts some seconds.
 constexpr milliseconds prefer_leader_duration{1000};
@@ -84,13 +87,14 @@
 } // namespace
 
 job_api::job_api(event_loop& loop, coordination_store& store, const caller_protocol& protocol,
-                 operator_view& operators, leader_access& leader, job_entry_metrics& metrics,
-                 const job_api_settings& settings)
+                 operator_view& operators, leader_access& leader, job_room& room,
+                 job_entry_metrics& metrics, const job_api_settings& settings)
     : loop_(loop)
     , store_(store)
     , protocol_(protocol)
     , operators_(operators)
     , leader_(leader)
+    , room_(room)
     , metrics_(metrics)
     , settings_(settings) {}
 
@@ -195,6 +199,12 @@
         respond(error_response(400, problem));
         return;
     }
+    const std::size_t memory = memory_of_job(job) + memory_of_occurrence(job);
+    if (!room_.admits(memory)) {
+        refuse_without_room(id, std::move(respond));
+        return;
+    }
+    room_.take(memory);
     const std::shared_ptr<pending_write> call = std::make_shared<pending_write>();
     call->id = id;
     call->transaction.expected = {{store_keys::job(id), 0}, operators_.config_unchanged()};
@@ -218,6 +228,33 @@
     try_store(call);
 }
 
+void job_api::refuse_without_room(const job_id& id, http_server::responder respond) {
+    if (const std::optional<std::uint64_t> left_out = no_room_log_.admit(boot_now())) {
+        log_request("Refused a job: the leader has no memory left for it.", id,
+                    "room_in_ms=" + std::to_string(room_.expected_in().count()) +
+                        " left_out=" + std::to_string(*left_out));
+    }
+    store_.get(
+        store_keys::job(id), settings_.store_timeout,
+        [this, respond = std::move(respond)](std::variant<store_item, store_error>&& result) {
+            const store_item* const item = std::get_if<store_item>(&result);
+            if (item == nullptr) {
+                // Whether the job was accepted before is not known.
+                respond(response_of(504));
+                return;
+            }
+            if (item->revision != 0) {
+                respond(response_of(200));
+                return;
+            }
+            http_response refusal = error_response(503, "no memory is left for the job");
+            const milliseconds wait = std::clamp(room_.expected_in(), min_room_wait, max_room_wait);
+            refusal.headers["Retry-After"] = std::to_string(
+                std::chrono::ceil<std::chrono::seconds>(wait).count() + refusals_++ % 3);
+            respond(std::move(refusal));
+        });
+}
+
 std::string job_api::size_problem(const job_spec& job, std::size_t record_bytes) const {
     const std::string limit = std::to_string(settings_.max_value_bytes) + " bytes";
     if (record_bytes > settings_.max_value_bytes) {
--- a/packages/daemon/source/jobs/job_api.hpp
+++ b/packages/daemon/source/jobs/job_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/job_entry_metrics.hpp"
+#include "jobs/job_room.hpp"
 #include "jobs/leader_access.hpp"
 #include "jobs/operator_view.hpp"
 
@@ -35,7 +36,8 @@
 public:
     job_api(event_loop& loop, infrastructure::coordination_store& store,
             const infrastructure::caller_protocol& protocol, operator_view& operators,
-            leader_access& leader, job_entry_metrics& metrics, const job_api_settings& settings);
+            leader_access& leader, job_room& room, job_entry_metrics& metrics,
+            const job_api_settings& settings);
     job_api(const job_api&) = delete;
     job_api& operator=(const job_api&) = delete;
     job_api(job_api&&) = delete;
@@ -85,6 +87,9 @@
                 boot_time deadline, http_server::responder respond);
     /// Why the job, whose record has this size, cannot be stored; empty when it can.
     std::string size_problem(const job_spec& job, std::size_t record_bytes) const;
+    /// Answers a submission for which the leader has no memory: refuses it unless the job has been
+    /// accepted before.
+    void refuse_without_room(const job_id& id, http_server::responder respond);
     void show(const job_id& id, http_server::responder respond);
     void show_stored(const job_id& id, http_server::responder respond);
     void show_stored_progress(const job_id& id, bool cancelled, http_server::responder respond);
@@ -107,6 +112,7 @@
     const infrastructure::caller_protocol& protocol_;
     operator_view& operators_;
     leader_access& leader_;
+    job_room& room_;
     job_entry_metrics& metrics_;
     job_api_settings settings_;
     /// Until this time keys are written through the leader instead of directly to the store.
@@ -116,6 +122,7 @@
     /// For lines about requests that no queue accepts, and about malformed jobs.
     mutable log_limiter unknown_queue_log_;
     log_limiter malformed_job_log_;
+    log_limiter no_room_log_;
 };
 
 } // namespace egretstile::daemon
--- a/packages/daemon/source/jobs/job_entry_metrics.cpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.cpp
@@ -47,6 +47,9 @@
     , jobs_(metrics_.gauge("egretstile_jobs", "Jobs that this entry knows as the leader."))
     , unfinished_jobs_(
           metrics_.gauge("egretstile_unfinished_jobs", "Jobs of the leader without a final state."))
+    , job_memory_bytes_(metrics_.gauge("egretstile_job_memory_bytes",
+                                       "Memory that the jobs take on this leader, as counted for "
+                                       "their acceptance."))
     , unstarted_jobs_(metrics_.gauge("egretstile_unstarted_jobs",
                                      "Unfinished jobs of which no task has started."))
     , ordered_jobs_(
@@ -97,6 +100,7 @@
     longest_round_.Set(state.longest_round_seconds);
     jobs_.Set(static_cast<double>(state.jobs));
     unfinished_jobs_.Set(static_cast<double>(state.unfinished_jobs));
+    job_memory_bytes_.Set(static_cast<double>(state.job_memory_bytes));
     unstarted_jobs_.Set(static_cast<double>(state.unstarted.all));
     ordered_jobs_.Set(static_cast<double>(state.unstarted.ordered));
     vms_.Set(static_cast<double>(state.vms));
--- a/packages/daemon/source/jobs/job_entry_metrics.hpp
+++ b/packages/daemon/source/jobs/job_entry_metrics.hpp
@@ -53,6 +53,7 @@
     double longest_round_seconds{0};
     std::size_t jobs{0};
     std::size_t unfinished_jobs{0};
+    std::size_t job_memory_bytes{0};
     unstarted_jobs unstarted;
     std::size_t vms{0};
     std::size_t connections{0};
@@ -97,6 +98,7 @@
     prometheus::Gauge& longest_round_;
     prometheus::Gauge& jobs_;
     prometheus::Gauge& unfinished_jobs_;
+    prometheus::Gauge& job_memory_bytes_;
     prometheus::Gauge& unstarted_jobs_;
     prometheus::Gauge& ordered_jobs_;
     prometheus::Gauge& vms_;
--- a/packages/daemon/source/jobs/job_entry_process.cpp
+++ b/packages/daemon/source/jobs/job_entry_process.cpp
@@ -59,7 +59,8 @@
                          leader_->confirm_leadership(time);
                      }
                  }})
-    , job_api_(loop_, *store_, platform_.callers(), operators_, leader_access_, metrics_,
+    , job_room_(job_memory_limit(settings_.common.memory_mb))
+    , job_api_(loop_, *store_, platform_.callers(), operators_, leader_access_, job_room_, metrics_,
                api_settings())
     , caller_server_(
           loop_, settings_.callers, http_limits_.limits_for(http_address::callers),
@@ -85,7 +86,11 @@
     control_.start();
     loop_.call_every(ping_interval, [this] {
         if (leader_ == nullptr) {
-            link_.send(operator_exchange_.next_ping(boot_now()));
+            wire::leader_ping ping = operator_exchange_.next_ping(boot_now());
+            ping.job_memory_limit = job_memory_limit(settings_.common.memory_mb);
+            link_.send(ping);
+        } else if (leader_->is_serving()) {
+            job_room_.apply_account(leader_->job_memory(common_job_memory()));
         }
     });
     write_log(log_part::process, log_level::info, "Entry started.",
@@ -161,6 +166,7 @@
 void job_entry_process::start_leading(const leadership& acquired) {
     leader_settings settings;
     settings.max_value_bytes = settings_.common.store_value_bytes;
+    settings.scheduler.job_memory_limit = job_memory_limit(settings_.common.memory_mb);
     settings.scheduler.leader_lease = election_settings().lease;
     settings.scheduler.closure_age_limit = settings_.closure_age_limit;
     settings.scheduler.remote_factor = settings_.remote_factor;
@@ -261,7 +267,7 @@
 
 void job_entry_process::answer_ping(frame_connection& connection, const wire::leader_ping& ping) {
     const boot_time now = boot_now();
-    entry_pings_[connection.peer().name] = {ping.config_version, now};
+    entry_pings_[connection.peer().name] = {ping.config_version, now, ping.job_memory_limit};
     operator_exchange_.apply_ping(ping, leader_->epoch());
     if (const std::optional<wire::config_update> update = operator_exchange_.update_for(ping)) {
         connection.send(*update);
@@ -270,6 +276,7 @@
     pong.number = ping.number;
     pong.epoch = leader_->epoch();
     pong.serving = leader_->is_serving();
+    pong.memory = leader_->job_memory(common_job_memory());
     operator_exchange_.describe(pong, now);
     connection.send(pong);
 }
@@ -278,6 +285,9 @@
     if (std::holds_alternative<wire::not_leading>(message)) {
         control_.refresh_if_due();
     } else if (const wire::leader_pong* const pong = std::get_if<wire::leader_pong>(&message)) {
+        if (pong->serving) {
+            job_room_.apply_account(pong->memory);
+        }
         if (const std::optional<wire::config_update> update =
                 operator_exchange_.apply_pong(*pong)) {
             link_.send(*update);
@@ -366,14 +376,24 @@
     state.closed_domains = operators_.closed().names();
     for (const auto& [name, last_ping] : entry_pings_) {
         const milliseconds age =
-            std::chrono::duration_cast<milliseconds>(boot_now() - last_ping.second);
+            std::chrono::duration_cast<milliseconds>(boot_now() - last_ping.received_at);
         if (age <= max_ping_age) {
-            state.entries.push_back({name, last_ping.first, age.count()});
+            state.entries.push_back({name, last_ping.config_version, age.count()});
         }
     }
     return state;
 }
 
+std::size_t job_entry_process::common_job_memory() const {
+    std::size_t limit = job_memory_limit(settings_.common.memory_mb);
+    for (const auto& [name, last_ping] : entry_pings_) {
+        if (boot_now() <= last_ping.received_at + max_ping_age) {
+            limit = std::min(limit, last_ping.job_memory_limit);
+        }
+    }
+    return limit;
+}
+
 std::uint64_t job_entry_process::config_version() const {
     return operators_.config() ? operators_.config()->version : 0;
 }
@@ -384,6 +404,7 @@
         const job_scheduler& scheduler = leader_->scheduler();
         state.leader_epoch = leader_->epoch();
         state.jobs = scheduler.job_count();
+        state.job_memory_bytes = scheduler.jobs().memory_bytes();
         state.unfinished_jobs = scheduler.jobs().unfinished().size();
         state.unstarted = scheduler.jobs().count_unstarted();
         state.vms = scheduler.vms().size();
--- a/packages/daemon/source/jobs/job_entry_process.hpp
+++ b/packages/daemon/source/jobs/job_entry_process.hpp
@@ -3,6 +3,7 @@
 #include "jobs/job_api.hpp"
 #include "jobs/job_entry_metrics.hpp"
 #include "jobs/job_leader.hpp"
+#include "jobs/job_room.hpp"
 #include "jobs/leader_access.hpp"
 #include "jobs/leader_election.hpp"
 #include "jobs/leader_link.hpp"
@@ -49,6 +50,12 @@
     }
 
 private:
+    struct entry_ping {
+        std::uint64_t config_version{0};
+        boot_time received_at{};
+        std::size_t job_memory_limit{0};
+    };
+
     void handle_control_change();
     void handle_operator_change();
     /// Applies the operators' limits to the callers' address.
@@ -74,6 +81,8 @@
     std::uint64_t config_version() const;
     std::optional<operations_page> find_page(const std::string& path);
     operations_page job_page(const job_id& id) const;
+    /// Memory that each entry that takes part has for jobs when it leads, in bytes.
+    std::size_t common_job_memory() const;
     void begin_stop();
     void continue_stop();
 
@@ -92,9 +101,8 @@
     std::unique_ptr<infrastructure::coordination_store> store_;
     /// Newest connection of each VM's agent.
     std::map<vm_name, std::weak_ptr<frame_connection>> agents_;
-    /// Version of the configuration and time of the last ping, of each entry that has sent a ping
-    /// to this process as the leader.
-    std::map<std::string, std::pair<std::uint64_t, boot_time>> entry_pings_;
+    /// Last ping of each entry that has sent one to this process as the leader.
+    std::map<std::string, entry_ping> entry_pings_;
     std::unique_ptr<frame_server> peer_server_;
     leader_link link_;
     leader_access leader_access_;
@@ -103,6 +111,7 @@
     operator_state_exchange operator_exchange_;
     control_view control_;
     leader_election election_;
+    job_room job_room_;
     job_api job_api_;
     http_server caller_server_;
     http_server readiness_server_;
--- a/packages/daemon/source/jobs/job_leader.cpp
+++ b/packages/daemon/source/jobs/job_leader.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds job_watch_wait{1000};
 /// Longer than the usual time between two confirmations of the leadership.
 constexpr milliseconds confirmation_gap{1000};
+/// Time after which room is expected when no job is final.
+constexpr milliseconds unknown_removal_time{10000};
 /// Interval at which a leader that the store does not confirm has agents read who leads, and the
 /// number of agents that it asks each time. Few, because the store may be overloaded.
 constexpr milliseconds verification_interval{500};
@@ -348,6 +350,19 @@
     request_pass();
 }
 
+wire::job_memory job_leader::job_memory(std::size_t limit) const {
+    const job_table& jobs = scheduler_.jobs();
+    const boot_time now = boot_now();
+    const boot_time removal =
+        jobs.next_removal(settings_.scheduler.final_retention).value_or(now + unknown_removal_time);
+    wire::job_memory account;
+    account.free_bytes =
+        static_cast<std::int64_t>(limit) - static_cast<std::int64_t>(jobs.memory_bytes());
+    account.room_in_ms =
+        std::chrono::duration_cast<milliseconds>(std::max(removal, now) - now).count();
+    return account;
+}
+
 void job_leader::request_pass() {
     if (!serving_ || std::exchange(pass_requested_, true)) {
         return;
@@ -646,6 +661,9 @@
                 for (const job_id& id : expired) {
                     unremoved_.erase(id);
                 }
+                if (expired.size() == expired_jobs_per_commit) {
+                    remove_expired(); // More may be waiting.
+                }
                 return;
             }
             // A job whose removal failed is removed by a later leader.
--- a/packages/daemon/source/jobs/job_leader.hpp
+++ b/packages/daemon/source/jobs/job_leader.hpp
@@ -82,6 +82,9 @@
 
     const job_scheduler& scheduler() const { return scheduler_; }
 
+    /// Account of the memory for jobs, of which any entry that may lead has `limit` bytes.
+    wire::job_memory job_memory(std::size_t limit) const;
+
 private:
     void apply_job_change(const infrastructure::store_item& item);
     void handle_jobs_listed();
--- a/packages/wire/include/egretstile/wire/message/messages.hpp
+++ b/packages/wire/include/egretstile/wire/message/messages.hpp
@@ -229,6 +229,14 @@
     std::int64_t age_ms{-1};
 };
 
+/// The leader's account of its memory for jobs.
+struct job_memory {
+    /// What is left for further jobs; negative when the jobs take more than they may.
+    std::int64_t free_bytes{0};
+    /// When the next job is expected to leave.
+    std::int64_t room_in_ms{0};
+};
+
 /// Sent by an entry to the leader, which replies with `leader_pong`, to check that the connection
 /// works.
 struct leader_ping {
@@ -240,6 +248,8 @@
     /// that pong; zero: none yet.
     epoch_number last_pong_epoch{0};
     std::int64_t last_pong_sent_at_ms{0};
+    /// Memory that the entry could use for jobs if it led, in bytes.
+    std::uint64_t job_memory_limit{0};
 };
 
 struct leader_pong {
@@ -254,6 +264,8 @@
     closed_domains_state closed;
     /// On the leader's boot clock.
     std::int64_t sent_at_ms{0};
+    /// Valid while `serving`.
+    job_memory memory;
 };
 
 /// Sent between an entry and the leader to the one that has the earlier configuration.
--- a/packages/wire/include/egretstile/wire/message/serialize.hpp
+++ b/packages/wire/include/egretstile/wire/message/serialize.hpp
@@ -328,16 +328,21 @@
     archive(value.domains, value.age_ms);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, job_memory& value) {
+    archive(value.free_bytes, value.room_in_ms);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, leader_ping& value) {
     archive(value.number, value.config_version, value.closed, value.last_pong_epoch,
-            value.last_pong_sent_at_ms);
+            value.last_pong_sent_at_ms, value.job_memory_limit);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, leader_pong& value) {
     archive(value.number, value.epoch, value.serving, value.config_version, value.config_age_ms,
-            value.closed, value.sent_at_ms);
+            value.closed, value.sent_at_ms, value.memory);
 }
 
 template <typename Archive>
